bronzedoor: the whole path as separate processes

Cause: there was nothing. A caller's query crosses a daemon's entry, the holders of each cell and the searchers as plain processes on loopback; labels, selectors and layouts go through the object API. Ruled out: a deadlock in the relay (goroutine dump shows none).

--- /dev/null
+++ b/internal/fakes/store.go
@@ -0,0 +1,267 @@
+// Package fakes holds small stand-ins for the outside: the object API, the VM
+// list and a searcher. Each keeps its own record, by which tests judge.
+package fakes
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/store"
+)
+
+// maxValue is the largest value in bytes that the object API holds.
+const maxValue = 1 << 20
+
+// A Trouble is how an interface of the platform fails now.
+type Trouble struct {
+	Down  bool          // calls are refused
+	Lose  float64       // share of writes that take effect and whose answer is lost
+	Delay time.Duration // before each answer
+	Stall bool          // watches never answer
+	Stale bool          // reads show the state at the time Stale was set
+}
+
+// Calls counts the calls to a Store.
+type Calls struct {
+	Reads   int
+	Writes  int
+	Watches int
+}
+
+type key struct {
+	kind object.Kind
+	name string
+}
+
+// A Store is an object API. Use NewStore to make one.
+type Store struct {
+	mu      sync.Mutex
+	rev     uint64
+	objects map[key]object.Object
+	old     map[key]object.Object // what stale reads show
+	oldRev  uint64
+	changed chan struct{}
+	trouble Trouble
+	calls   Calls
+	rnd     *rand.Rand
+}
+
+// NewStore returns an empty store whose losses are drawn from seed.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		objects: make(map[key]object.Object),
+		changed: make(chan struct{}),
+		rnd:     rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// Fail sets how the store fails from now on.
+func (s *Store) Fail(t Trouble) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t.Stale && !s.trouble.Stale {
+		s.old = make(map[key]object.Object, len(s.objects))
+		for k, o := range s.objects {
+			s.old[k] = o
+		}
+		s.oldRev = s.rev
+	}
+	s.trouble = t
+}
+
+// Calls returns the calls so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Revision returns the revision of the newest write.
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
+// ServeHTTP serves the object API.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t := s.begin(r)
+	if t.Delay > 0 {
+		sleep(r, t.Delay)
+	}
+	if t.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	rest, ok := strings.CutPrefix(r.URL.Path, "/v1/objects")
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	if rest == "" {
+		s.list(w, r)
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(rest, "/"), "/")
+	k := key{kind: object.Kind(kind), name: name}
+	if r.Method == http.MethodGet {
+		s.get(w, k)
+		return
+	}
+	s.write(w, r, k)
+}
+
+func sleep(r *http.Request, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.Context().Done():
+	case <-t.C:
+	}
+}
+
+func (s *Store) begin(r *http.Request) Trouble {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.Method != http.MethodGet:
+		s.calls.Writes++
+	case r.URL.Query().Get("wait") != "" && r.URL.Query().Get("wait") != "0":
+		s.calls.Watches++
+	default:
+		s.calls.Reads++
+	}
+	return s.trouble
+}
+
+func (s *Store) get(w http.ResponseWriter, k key) {
+	s.mu.Lock()
+	objects := s.objects
+	if s.trouble.Stale {
+		objects = s.old
+	}
+	o, ok := objects[k]
+	s.mu.Unlock()
+	if !ok || o.Gone {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.Revision, 10)))
+	reply(w, o)
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request, k key) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	if err != nil {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	gone := r.Method == http.MethodDelete
+	if !gone && !json.Valid(body) {
+		http.Error(w, "value is not JSON", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	now := s.objects[k]
+	if !matches(r, now) {
+		s.mu.Unlock()
+		http.Error(w, "conflict", http.StatusPreconditionFailed)
+		return
+	}
+	s.rev++
+	o := object.Object{Kind: k.kind, Name: k.name, Revision: s.rev, Gone: gone, Body: body}
+	s.objects[k] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+	lost := s.rnd.Float64() < s.trouble.Lose
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, o)
+}
+
+func matches(r *http.Request, now object.Object) bool {
+	if r.Header.Get("If-None-Match") == "*" {
+		return now.Revision == 0 || now.Gone
+	}
+	want, err := strconv.Unquote(r.Header.Get("If-Match"))
+	return err == nil && !now.Gone && want == strconv.FormatUint(now.Revision, 10)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	wait, _ := strconv.Atoi(q.Get("wait"))
+	end := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer end.Stop()
+	kinds := strings.Split(q.Get("kinds"), ",")
+	for {
+		l, changed, stall := s.page(kinds, since, limit)
+		if len(l.Objects) > 0 && !stall || wait == 0 {
+			reply(w, l)
+			return
+		}
+		if stall {
+			changed = nil
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-end.C:
+			if !stall {
+				reply(w, l)
+				return
+			}
+			<-r.Context().Done()
+			return
+		case <-changed:
+		}
+	}
+}
+
+// page returns the next objects and a channel that is closed by the next write.
+func (s *Store) page(kinds []string, since uint64, limit int) (store.List, chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects, rev := s.objects, s.rev
+	if s.trouble.Stale {
+		objects, rev = s.old, s.oldRev
+	}
+	l := store.List{Revision: rev}
+	for k, o := range objects {
+		if o.Revision > since && slices.Contains(kinds, string(k.kind)) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	slices.SortFunc(l.Objects, func(a, b object.Object) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	if limit > 0 && len(l.Objects) > limit {
+		l.Objects = l.Objects[:limit]
+		l.Revision = l.Objects[limit-1].Revision
+		l.More = true
+	}
+	return l, s.changed, s.trouble.Stall
+}
+
+func reply(w http.ResponseWriter, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b)
+}
--- /dev/null
+++ b/internal/hold/keeper.go
@@ -0,0 +1,437 @@
+package hold
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/conf"
+	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/peer"
+	"bronzedoor.dev/bronzedoor/internal/permit"
+	"bronzedoor.dev/bronzedoor/internal/relay"
+	"bronzedoor.dev/bronzedoor/internal/ring"
+	"bronzedoor.dev/bronzedoor/internal/store"
+	"bronzedoor.dev/bronzedoor/internal/wire"
+)
+
+// Times of the keeper.
+const (
+	turnEvery  = 100 * time.Millisecond // between two looks at what is to be done
+	storeEvery = 250 * time.Millisecond // between two looks at the records
+	settleFor  = 2 * time.Second        // membership must be steady before blocks move
+	warmEvery  = 10 * time.Second       // between two reminders of what is warm
+	callWait   = 2 * time.Second        // for one call to a peer
+	listFresh  = 5 * time.Second        // age up to which the VM list is good for a gift
+)
+
+// warmRing is the number of words on warm upstreams that may wait.
+const warmRing = 256
+
+// A Keeper owns the ledger of a daemon. Set the exported fields, then Start.
+type Keeper struct {
+	Self    Candidate
+	Book    *conf.Book
+	Relay   *relay.Relay
+	Store   *store.Client
+	Members func() []peer.Member
+	Say     func(leaving bool, blocks []permit.Block)
+	Fleet   func(address string) wire.Fleet
+	Listed  func(l store.VMs) // told of each list; may be nil
+	Lister  func() bool       // whether this daemon reads the list often; nil means always
+	Log     *event.Log
+
+	mu      sync.Mutex
+	ledger  *permit.Ledger
+	giving  map[permit.Slot]string // blocks that are being drained, with their receivers
+	asked   map[permit.Slot]bool   // gifts in the air
+	leaving bool
+	list    store.VMs
+	listAt  time.Time // zero while there is no list
+	steady  steady
+	orphans map[permit.Slot]time.Time // since when nobody seems to own a block
+	warm    *ring.Ring[word]
+	dirty   bool       // the relay must be told
+	view    *conf.View // that the relay has in force
+	wake    chan struct{}
+
+	loops  sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// A word says that upstreams of a cell are warm.
+type word struct {
+	cell string
+	warm []*wire.Warmth
+}
+
+// steady tells since when the candidates have been the same.
+type steady struct {
+	candidates []Candidate
+	since      time.Time
+}
+
+// Init makes the keeper's ledger, so that calls can be answered before Start.
+func (k *Keeper) Init() {
+	k.ledger = permit.NewLedger(k.Self.Identity)
+	k.giving = make(map[permit.Slot]string)
+	k.asked = make(map[permit.Slot]bool)
+	k.orphans = make(map[permit.Slot]time.Time)
+	k.warm = ring.New[word](warmRing)
+	k.wake = make(chan struct{}, 1)
+	k.Relay.Warmed = k.warmed
+}
+
+// Start starts the keeper's duties.
+func (k *Keeper) Start(ctx context.Context) error {
+	ctx, k.cancel = context.WithCancel(ctx)
+	k.loops.Add(3)
+	go k.loop(ctx)
+	go k.storeLoop(ctx)
+	go k.warmLoop(ctx)
+	return nil
+}
+
+// Stop ends the keeper's duties.
+func (k *Keeper) Stop(context.Context) error {
+	k.cancel()
+	k.loops.Wait()
+	return nil
+}
+
+// Leave gives all blocks away. It returns when none is left, when there is
+// nobody to take them, or when ctx ends.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.mu.Lock()
+	k.leaving = true
+	k.dirty = true
+	k.mu.Unlock()
+	k.refreshList(ctx, 0)
+	t := time.NewTicker(turnEvery)
+	defer t.Stop()
+	for {
+		if k.empty() || k.alone() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// alone reports whether there is no daemon to give blocks to, and none that
+// could still answer a gift.
+func (k *Keeper) alone() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.candidates(k.Book.View()) {
+		if c.Identity != k.Self.Identity {
+			return false
+		}
+	}
+	down := make(map[string]bool)
+	for _, m := range k.Members() {
+		down[m.Identity] = m.Down
+	}
+	for _, g := range k.ledger.Gifts() {
+		if !down[g.To] {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *Keeper) empty() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.ledger.Owned()) == 0 && len(k.ledger.Gifts()) == 0
+}
+
+// loop does what needs no store until ctx ends.
+func (k *Keeper) loop(ctx context.Context) {
+	defer k.loops.Done()
+	t := time.NewTicker(turnEvery)
+	defer t.Stop()
+	for {
+		k.turn(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-k.wake:
+		}
+	}
+}
+
+// Wake makes the keeper look at the configuration now.
+func (k *Keeper) Wake() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Revision returns the revision of the configuration that the relay has in force.
+func (k *Keeper) Revision() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view == nil {
+		return 0
+	}
+	return k.view.Revision
+}
+
+// turn takes what the records bring, plans gifts and tells the relay.
+func (k *Keeper) turn(ctx context.Context) {
+	view := k.Book.View()
+	k.mu.Lock()
+	k.take(view)
+	k.plan(view, time.Now())
+	k.release()
+	update := k.dirty || view != k.view
+	k.dirty = false
+	owned := k.ledger.Owned()
+	giving := k.givingSlots()
+	gifts := k.unasked()
+	out := k.out(view)
+	k.mu.Unlock()
+	if update {
+		k.Relay.Update(view, owned, giving)
+		k.Say(out, owned)
+		k.mu.Lock()
+		k.view = view
+		k.mu.Unlock()
+	}
+	for _, g := range gifts {
+		k.loops.Add(1)
+		go (&errand{keeper: k, gift: g}).run(ctx)
+	}
+}
+
+// out reports whether this daemon gets no new work.
+func (k *Keeper) out(view *conf.View) bool {
+	return k.leaving || view.VMOut(peer.Address(k.Self.Identity), k.Self.Domain)
+}
+
+func (k *Keeper) take(view *conf.View) {
+	for _, c := range cells(view) {
+		for i, b := range c.Blocks {
+			block := permit.Block{
+				Slot: permit.Slot{Cell: c.Name, Index: i},
+				Turn: permit.Turn{Epoch: b.Epoch, Hop: b.Hop},
+			}
+			if k.ledger.Record(block, b.Owner) {
+				k.dirty = true
+				k.Log.Emit(event.BlockTaken, event.Fields{Step: "record", Detail: slotName(block.Slot)})
+			}
+		}
+	}
+}
+
+// cells returns all cells of a view.
+func cells(view *conf.View) []*conf.Cell {
+	var out []*conf.Cell
+	for i := range view.Services {
+		for j := range view.Services[i].Layouts {
+			l := &view.Services[i].Layouts[j]
+			for g := range l.Cells {
+				out = append(out, &l.Cells[g])
+			}
+		}
+	}
+	return out
+}
+
+// plan chooses the blocks that should move, and begins to drain them.
+func (k *Keeper) plan(view *conf.View, now time.Time) {
+	candidates := k.candidates(view)
+	if !slices.Equal(candidates, k.steady.candidates) {
+		k.steady = steady{candidates: candidates, since: now}
+	}
+	if !k.out(view) && now.Sub(k.steady.since) < settleFor {
+		return
+	}
+	has := k.counts()
+	for _, b := range k.ledger.Owned() {
+		if _, ok := k.giving[b.Slot]; ok || len(k.givingOf(b.Cell)) > 0 {
+			continue
+		}
+		owners := Owners(b.Cell, k.blocks(view, b.Cell), candidates)
+		to := Target(k.Self.Identity, len(owners), owners, func(id string) int { return has[holding{id, b.Cell}] })
+		if to == "" || to == k.Self.Identity {
+			continue
+		}
+		k.giving[b.Slot] = to
+		k.dirty = true
+	}
+}
+
+// holding names a daemon's part of a cell.
+type holding struct {
+	identity string
+	cell     string
+}
+
+// counts returns how many blocks of each cell the daemons say they own.
+func (k *Keeper) counts() map[holding]int {
+	has := make(map[holding]int)
+	for _, m := range k.Members() {
+		if m.Identity == k.Self.Identity {
+			continue
+		}
+		for _, b := range m.Blocks {
+			has[holding{m.Identity, b.Cell}]++
+		}
+	}
+	for _, b := range k.ledger.Owned() {
+		has[holding{k.Self.Identity, b.Cell}]++
+	}
+	return has
+}
+
+// candidates returns the daemons that take new work and that the platform lists.
+func (k *Keeper) candidates(view *conf.View) []Candidate {
+	var out []Candidate
+	for _, m := range k.Members() {
+		if m.Identity == k.Self.Identity && k.out(view) {
+			continue
+		}
+		if m.Live() && k.list.Has(m.Identity) && !view.VMOut(peer.Address(m.Identity), m.Domain) {
+			out = append(out, Candidate{Identity: m.Identity, Domain: m.Domain})
+		}
+	}
+	return out
+}
+
+func (k *Keeper) blocks(view *conf.View, cell string) int {
+	for _, c := range cells(view) {
+		if c.Name == cell {
+			return max(len(c.Blocks), 1)
+		}
+	}
+	return 1
+}
+
+func (k *Keeper) givingOf(cell string) []permit.Slot {
+	var out []permit.Slot
+	for s := range k.giving {
+		if s.Cell == cell {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (k *Keeper) givingSlots() []permit.Slot {
+	out := make([]permit.Slot, 0, len(k.giving))
+	for s := range k.giving {
+		out = append(out, s)
+	}
+	return out
+}
+
+// release turns drained blocks into gifts.
+func (k *Keeper) release() {
+	if k.dirty {
+		// The relay does not yet know what is being drained.
+		return
+	}
+	for s, to := range k.giving {
+		if !k.Relay.Within(s) {
+			continue
+		}
+		delete(k.giving, s)
+		k.ledger.Give(s, to)
+		k.dirty = true
+	}
+}
+
+func (k *Keeper) unasked() []permit.Gift {
+	var out []permit.Gift
+	for _, g := range k.ledger.Gifts() {
+		if !k.asked[g.Slot] {
+			k.asked[g.Slot] = true
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// An errand brings one gift to its receiver.
+type errand struct {
+	keeper *Keeper
+	gift   permit.Gift
+}
+
+// run sends the gift once and takes in the answer. Without an answer the next
+// turn sends it again.
+func (e *errand) run(ctx context.Context) {
+	k := e.keeper
+	defer k.loops.Done()
+	warm := k.Relay.Warm(e.gift.Cell, true)
+	call, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	to := k.Fleet(peer.Address(e.gift.To))
+	re, err := to.Give(call, &wire.GiveRequest{From: k.Self.Identity, To: e.gift.To, Block: peer.EncodeBlock(e.gift.Block)})
+	k.mu.Lock()
+	delete(k.asked, e.gift.Slot)
+	k.dirty = true
+	if err == nil {
+		k.ledger.Settled(e.gift, re.Accepted)
+	} else if k.listAt.After(time.Time{}) && !k.list.Has(e.gift.To) {
+		k.ledger.Void(e.gift.To)
+	}
+	k.mu.Unlock()
+	if err != nil {
+		k.Log.Emit(event.GiftFailed, event.Fields{Step: "give", Peer: e.gift.To, Err: err, Detail: slotName(e.gift.Slot)})
+		return
+	}
+	k.Log.Emit(event.BlockGiven, event.Fields{Step: "give", Peer: e.gift.To, Detail: slotName(e.gift.Slot)})
+	_, _ = to.Warm(call, &wire.WarmRequest{From: k.Self.Identity, Warm: warm})
+}
+
+// Give answers a daemon that gives a block.
+func (k *Keeper) Give(_ context.Context, req *wire.GiveRequest) (*wire.GiveReply, error) {
+	b := peer.DecodeBlock(req.Block)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if req.To != k.Self.Identity {
+		return &wire.GiveReply{}, nil
+	}
+	if k.leaving && !k.ledger.Owns(b.Slot) {
+		k.ledger.Fence(b.Slot, b.Epoch)
+	}
+	ok := k.ledger.Accept(b)
+	k.dirty = true
+	if ok {
+		k.Log.Emit(event.BlockTaken, event.Fields{Step: "gift", Peer: req.From, Detail: slotName(b.Slot)})
+	}
+	return &wire.GiveReply{Accepted: ok}, nil
+}
+
+// Fence answers a daemon that wants to reissue a block.
+func (k *Keeper) Fence(_ context.Context, req *wire.FenceRequest) (*wire.FenceReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b, owned := k.ledger.Fence(permit.Slot{Cell: req.Cell, Index: int(req.Index)}, req.Epoch)
+	return &wire.FenceReply{
+		Identity: k.Self.Identity,
+		Owned:    owned,
+		Block:    peer.EncodeBlock(b),
+		Listed:   k.list.Version,
+	}, nil
+}
+
+// Owned returns the owned blocks.
+func (k *Keeper) Owned() []permit.Block {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Owned()
+}
+
+func slotName(s permit.Slot) string {
+	return s.Cell + "/" + string(rune('0'+s.Index))
+}
--- /dev/null
+++ b/internal/peer/beat.go
@@ -0,0 +1,377 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bronzedoor.dev/bronzedoor/internal/permit"
+	"bronzedoor.dev/bronzedoor/internal/ring"
+	"bronzedoor.dev/bronzedoor/internal/wire"
+)
+
+// Times of the heartbeats.
+const (
+	Every      = 250 * time.Millisecond // between two pings of one daemon
+	ackWait    = 200 * time.Millisecond // until other members are asked to ping
+	relayWait  = 300 * time.Millisecond // from then until the member counts as down
+	tick       = 50 * time.Millisecond  // resolution of the waits
+	rumorEvery = 100 * time.Millisecond // between two rumors of one daemon
+)
+
+// Sizes of the heartbeats.
+const (
+	helpers     = 3    // members asked to ping
+	rumorTo     = 3    // members told of news at once
+	newsPer     = 6    // members in one datagram
+	downEach    = 4    // every so many pings one goes to a member that is down
+	inbox       = 1024 // datagrams that wait
+	maxDatagram = 8 << 10
+)
+
+// A Packet is one received datagram.
+type Packet struct {
+	From string // IP number and port
+	Data []byte
+}
+
+// A Beater sends and answers heartbeats. Set the exported fields, then Start.
+type Beater struct {
+	Self     Member
+	Send     func(address string, data []byte) // sends one datagram; loss is allowed
+	Revision func() uint64                     // configuration in force here
+	Newer    func(from string, rev uint64)     // a member has a newer configuration; may be nil
+	Changed  func(members []Member)            // members whose state is new; may be nil
+	Differ   func(from string)                 // a member's table differs; may be nil
+	Sent     func(bytes int)                   // counts what is sent; may be nil
+	Got      func(bytes int)                   // counts what is received; may be nil
+
+	mu      sync.Mutex
+	table   *Table
+	in      *ring.Ring[Packet]
+	number  uint64
+	waits   map[uint64]*wait
+	favours map[uint64]favour // pings sent for others, by number
+	pings   int
+	rumorAt time.Time // not before
+	rumor   bool      // there is news to tell at once
+	loops   sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// A wait is a ping that has no answer yet.
+type wait struct {
+	target string
+	due    time.Time
+	asked  bool // other members were asked to ping
+}
+
+// A favour is a ping sent for another member.
+type favour struct {
+	address string // of the member that asked
+	number  uint64 // of its ping
+	due     time.Time
+}
+
+// Init makes the beater's table, so that members can be merged before Start.
+func (b *Beater) Init() {
+	b.table = NewTable(b.Self)
+	b.in = ring.New[Packet](inbox)
+	b.waits = make(map[uint64]*wait)
+	b.favours = make(map[uint64]favour)
+}
+
+// Start starts the heartbeats.
+func (b *Beater) Start(ctx context.Context) error {
+	ctx, b.cancel = context.WithCancel(ctx)
+	b.loops.Add(1)
+	go b.loop(ctx)
+	return nil
+}
+
+// Stop ends the heartbeats.
+func (b *Beater) Stop(context.Context) error {
+	b.cancel()
+	b.loops.Wait()
+	return nil
+}
+
+// Receive takes in a datagram. When too many wait, the oldest is dropped, as
+// the network may do.
+func (b *Beater) Receive(p Packet) {
+	b.in.Put(p)
+}
+
+// loop sends pings and handles datagrams until ctx ends.
+func (b *Beater) loop(ctx context.Context) {
+	defer b.loops.Done()
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	next := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.in.Ready():
+			for _, p := range b.in.Take() {
+				b.handle(p)
+			}
+		case <-t.C:
+			now := time.Now()
+			b.expire(now)
+			if !now.Before(next) {
+				next = now.Add(Every)
+				b.ping()
+			}
+		}
+		b.tell()
+	}
+}
+
+// Members returns what is known of the fleet.
+func (b *Beater) Members() []Member {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Members()
+}
+
+// Say changes what the daemon says of itself.
+func (b *Beater) Say(leaving bool, blocks []permit.Block) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.table.Self().Seq
+	b.table.Say(leaving, blocks)
+	b.rumor = b.rumor || b.table.Self().Seq != before
+}
+
+// Merge takes in members that came by another way.
+func (b *Beater) Merge(members []Member) {
+	b.mu.Lock()
+	news := b.table.Merge(members)
+	b.rumor = b.rumor || len(news) > 0
+	b.mu.Unlock()
+	b.changed(news)
+}
+
+// Rumor tells some members at once what is new here.
+func (b *Beater) Rumor() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rumor = true
+}
+
+// List takes in the identities that the platform lists, by failure domain.
+func (b *Beater) List(add []Member, listed func(identity string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range add {
+		b.table.Add(m.Identity, m.Domain)
+	}
+	b.table.Keep(listed)
+}
+
+// Lost notes from other traffic that a member does not answer.
+func (b *Beater) Lost(identity string) {
+	b.mu.Lock()
+	m, _ := b.table.Member(identity)
+	down := b.table.Down(identity)
+	b.rumor = b.rumor || down
+	b.mu.Unlock()
+	if down {
+		m.Down = true
+		b.changed([]Member{m})
+	}
+}
+
+func (b *Beater) changed(news []Member) {
+	if len(news) > 0 && b.Changed != nil {
+		b.Changed(news)
+	}
+}
+
+// message returns a message of that type with news aboard.
+func (b *Beater) message(t wire.Beat_Type, number uint64) *wire.Beat {
+	return &wire.Beat{
+		Type:     t,
+		From:     b.Self.Identity,
+		Number:   number,
+		Revision: b.Revision(),
+		Digest:   b.table.Digest(),
+		Members:  Encode(b.table.News(newsPer)),
+	}
+}
+
+func (b *Beater) send(address string, m *wire.Beat) {
+	data, err := proto.Marshal(m)
+	if err != nil || len(data) > maxDatagram {
+		return
+	}
+	if b.Sent != nil {
+		b.Sent(len(data))
+	}
+	b.Send(address, data)
+}
+
+// ping sends the next ping.
+func (b *Beater) ping() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pings++
+	if b.pings%downEach == 0 {
+		if id := b.table.Next(true); id != "" {
+			b.number++
+			b.send(Address(id), b.message(wire.Beat_PING, b.number))
+		}
+	}
+	id := b.table.Next(false)
+	if id == "" {
+		return
+	}
+	b.number++
+	b.waits[b.number] = &wait{target: id, due: time.Now().Add(ackWait)}
+	b.send(Address(id), b.message(wire.Beat_PING, b.number))
+}
+
+// expire asks others about members that did not answer in time, and takes
+// those for down that did not answer them either.
+func (b *Beater) expire(now time.Time) {
+	var lost []string
+	b.mu.Lock()
+	for n, f := range b.favours {
+		if now.After(f.due) {
+			delete(b.favours, n)
+		}
+	}
+	for n, w := range b.waits {
+		if now.Before(w.due) {
+			continue
+		}
+		if w.asked {
+			delete(b.waits, n)
+			lost = append(lost, w.target)
+			continue
+		}
+		w.asked = true
+		w.due = now.Add(relayWait)
+		b.ask(n, w.target)
+	}
+	b.mu.Unlock()
+	for _, id := range lost {
+		b.Lost(id)
+	}
+}
+
+func (b *Beater) ask(number uint64, target string) {
+	for _, id := range b.table.Some(helpers, target) {
+		m := b.message(wire.Beat_RELAY, number)
+		m.Subject = target
+		b.send(Address(id), m)
+	}
+	// The member itself is asked once more: one lost datagram is no sign.
+	b.send(Address(target), b.message(wire.Beat_PING, number))
+}
+
+// handle takes in one datagram.
+func (b *Beater) handle(p Packet) {
+	var m wire.Beat
+	if err := proto.Unmarshal(p.Data, &m); err != nil {
+		return
+	}
+	if b.Got != nil {
+		b.Got(len(p.Data))
+	}
+	b.Merge(Decode(m.Members))
+	b.mu.Lock()
+	b.answer(p.From, &m)
+	differ := m.Digest != b.table.Digest()
+	b.mu.Unlock()
+	if m.Revision > b.Revision() && b.Newer != nil {
+		b.Newer(m.From, m.Revision)
+	}
+	if differ && b.Differ != nil {
+		b.Differ(m.From)
+	}
+}
+
+func (b *Beater) answer(from string, m *wire.Beat) {
+	switch m.Type {
+	case wire.Beat_PING:
+		ack := b.message(wire.Beat_ACK, m.Number)
+		b.remind(ack, m.From)
+		b.send(from, ack)
+	case wire.Beat_ACK:
+		b.acked(m)
+	case wire.Beat_RELAY:
+		b.number++
+		b.favours[b.number] = favour{address: from, number: m.Number, due: time.Now().Add(time.Second)}
+		b.send(Address(m.Subject), b.message(wire.Beat_PING, b.number))
+	}
+}
+
+// remind tells a member that it is taken for down, so that it refutes it.
+func (b *Beater) remind(ack *wire.Beat, identity string) {
+	if m, ok := b.table.Member(identity); ok && m.Down {
+		ack.Members = append(ack.Members, Encode([]Member{m})...)
+	}
+}
+
+func (b *Beater) acked(m *wire.Beat) {
+	if f, ok := b.favours[m.Number]; ok {
+		delete(b.favours, m.Number)
+		ack := b.message(wire.Beat_ACK, f.number)
+		b.send(f.address, ack)
+		return
+	}
+	delete(b.waits, m.Number)
+}
+
+// tell passes news on to some members at once.
+func (b *Beater) tell() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if !b.rumor || now.Before(b.rumorAt) {
+		return
+	}
+	b.rumor = false
+	b.rumorAt = now.Add(rumorEvery)
+	for _, id := range b.table.Some(rumorTo, "") {
+		b.send(Address(id), b.message(wire.Beat_RUMOR, 0))
+	}
+}
+
+// A Socket reads datagrams for a beater.
+type Socket struct {
+	Conn   net.PacketConn
+	Beater *Beater
+}
+
+// Run starts reading. It ends when Conn is closed.
+func (s *Socket) Run() {
+	go s.run()
+}
+
+func (s *Socket) run() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := s.Conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		data := make([]byte, n)
+		copy(data, buf[:n])
+		s.Beater.Receive(Packet{From: from.String(), Data: data})
+	}
+}
+
+// Send sends one datagram; errors count as loss.
+func (s *Socket) Send(address string, data []byte) {
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return
+	}
+	_, _ = s.Conn.WriteTo(data, to)
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"bronzedoor.dev/bronzedoor/internal/permit"
+	"bronzedoor.dev/bronzedoor/internal/wire"
+)
+
+// Encode returns members as they travel between daemons.
+func Encode(members []Member) []*wire.Member {
+	out := make([]*wire.Member, 0, len(members))
+	for _, m := range members {
+		w := &wire.Member{Identity: m.Identity, Domain: m.Domain, Sequence: m.Seq, Leaving: m.Leaving, Down: m.Down}
+		for _, b := range m.Blocks {
+			w.Blocks = append(w.Blocks, EncodeBlock(b))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Decode returns the members of a message.
+func Decode(members []*wire.Member) []Member {
+	out := make([]Member, 0, len(members))
+	for _, w := range members {
+		m := Member{Identity: w.Identity, Domain: w.Domain, Seq: w.Sequence, Leaving: w.Leaving, Down: w.Down}
+		for _, b := range w.Blocks {
+			m.Blocks = append(m.Blocks, DecodeBlock(b))
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// EncodeBlock returns a block as it travels between daemons.
+func EncodeBlock(b permit.Block) *wire.Block {
+	return &wire.Block{Cell: b.Cell, Index: uint32(b.Index), Epoch: b.Epoch, Hop: b.Hop}
+}
+
+// DecodeBlock returns the block of a message.
+func DecodeBlock(w *wire.Block) permit.Block {
+	return permit.Block{
+		Slot: permit.Slot{Cell: w.GetCell(), Index: int(w.GetIndex())},
+		Turn: permit.Turn{Epoch: w.GetEpoch(), Hop: w.GetHop()},
+	}
+}
