entry, relay: a cell whose permits are moving is asked again

Ruled out: cold replicas (reasons in the refusal's coverage are all of one cell). Conclusion: a miss that passes by itself (moved, cold, absent) is told apart from one that does not (out, version), and is worth up to four rounds.

--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -12,8 +12,12 @@
 	"bronzedoor.dev/bronzedoor/internal/wire"
 )
 
-// maxHolders is the number of holders of one cell that a query asks.
-const maxHolders = 3
+// Bounds of the requests to the holders of one cell.
+const (
+	maxHolders = 3                     // asked in one round
+	maxTurns   = 4                     // rounds, while permits or warmth are on their way
+	turnPause  = 20 * time.Millisecond // before the second round, then doubled
+)
 
 // errAbsent says that a daemon holds nothing of the cell.
 var errAbsent = errors.New("the daemon does not hold the cell")
@@ -28,6 +32,7 @@
 	results chan holderResult
 	air     int      // requests in the air
 	only    []uint32 // shards still wanted; nil for all
+	passing bool     // what is missing may come by itself
 }
 
 // holderResult is what came of one request to one holder.
@@ -61,12 +66,35 @@
 	h.call.results <- holderResult{holder: h.holder, reply: re, err: err}
 }
 
-// run asks holders until the cell is complete, ctx ends, or none is left.
+// run asks holders until the cell is complete, ctx ends, or more rounds are of
+// no use.
 func (c *cellCall) run(ctx context.Context) {
 	defer c.end()
-	c.results = make(chan holderResult, maxHolders)
+	c.results = make(chan holderResult, maxHolders*maxTurns)
+	pause := turnPause
+	for range maxTurns {
+		c.tried = nil
+		c.passing = false
+		if c.round(ctx) || !c.passing {
+			return
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		pause *= 2
+	}
+}
+
+// round asks the holders in turn, and reports whether the cell is complete or
+// ctx has ended.
+func (c *cellCall) round(ctx context.Context) bool {
 	if !c.ask(ctx) {
-		return
+		c.passing = true
+		return ctx.Err() != nil
 	}
 	hedge := time.NewTimer(c.fan.entry.Metrics.cells.Value())
 	defer hedge.Stop()
@@ -75,15 +103,16 @@
 		case r := <-c.results:
 			c.air--
 			if c.take(r) {
-				return
+				return true
 			}
 			c.ask(ctx)
 		case <-hedge.C:
 			c.hedge(ctx)
 		case <-ctx.Done():
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (c *cellCall) end() {
@@ -116,9 +145,11 @@
 	c.ask(ctx)
 }
 
-// take hands in a reply, and reports whether the cell is complete.
+// take hands in a reply, and reports whether the cell is complete as far as it
+// can be at this snapshot.
 func (c *cellCall) take(r holderResult) bool {
 	if r.err != nil {
+		c.passing = c.passing || errors.Is(r.err, errAbsent)
 		return false
 	}
 	e := c.fan.entry
@@ -128,7 +159,14 @@
 	complete := true
 	for _, m := range r.reply.Misses {
 		c.only = append(c.only, m.Shard)
-		complete = complete && m.Reason == string(search.CauseVersion)
+		switch search.Cause(m.Reason) {
+		case search.CauseCold, search.CauseMoved:
+			c.passing = true
+			complete = false
+		case search.CauseVersion, search.CauseOut:
+		default:
+			complete = false
+		}
 	}
 	return complete
 }
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -131,7 +131,7 @@
 		request:  req,
 		floor:    floor,
 		merge:    merge.New(l.Shards, req.Top),
-		replies:  make(chan *wire.SearchReply, 2*len(l.Cells)),
+		replies:  make(chan *wire.SearchReply, maxHolders*maxTurns*len(l.Cells)),
 		done:     make(chan struct{}, len(l.Cells)),
 	}
 }
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -406,6 +406,7 @@
 	}
 	ok := k.ledger.Accept(b)
 	k.dirty = true
+	k.Wake()
 	if ok {
 		k.Log.Emit(event.BlockTaken, event.Fields{Step: "gift", Peer: req.From, Detail: slotName(b.Slot)})
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -169,13 +169,13 @@
 
 // unwaited reports whether a replica was refused without a wait.
 func unwaited(err error) bool {
-	return err == errNone || err == errCold || err == errVersion
+	return err == errNone || err == errMoved || err == errCold || err == errVersion
 }
 
 // retryable reports whether the same replica may do better the next time.
 func retryable(err error) bool {
 	switch search.CauseOf(err) {
-	case search.CauseVersion, search.CausePartial, search.CauseRefused:
+	case search.CauseVersion, search.CausePartial, search.CauseRefused, search.CauseOut:
 		return false
 	}
 	return true
--- a/internal/relay/shard.go
+++ b/internal/relay/shard.go
@@ -172,7 +172,8 @@
 	errFull    = &search.Error{Cause: search.CauseShed, Unrun: true, Err: limit.ErrFull}
 	errCold    = &search.Error{Cause: search.CauseCold, Unrun: true, Err: errors.New("another daemon may send first")}
 	errVersion = &search.Error{Cause: search.CauseVersion, Unrun: true, Err: errors.New("no replica holds the version")}
-	errNone    = &search.Error{Cause: search.CauseRefused, Unrun: true, Err: errors.New("no replica is in service")}
+	errMoved   = &search.Error{Cause: search.CauseMoved, Unrun: true, Err: errors.New("another daemon has the permits")}
+	errNone    = &search.Error{Cause: search.CauseOut, Unrun: true, Err: errors.New("no replica is in service")}
 )
 
 // take waits until a replica may get the request, and counts it in. Each nil
@@ -231,17 +232,17 @@
 func (s *shard) hopeless(w *want, now time.Time) error {
 	err := errNone
 	for _, u := range s.ups {
-		if u.conf.Out || u.ramp.Max == 0 || !u.conf.Has(w.pick) || slices.Contains(w.avoid, u.conf.Address) {
-			continue
-		}
-		if !u.holds(w.version) {
+		switch {
+		case u.conf.Out || !u.conf.Has(w.pick) || slices.Contains(w.avoid, u.conf.Address):
+		case !u.holds(w.version):
 			err = errVersion
-			continue
-		}
-		if u.ramp.Limit(now) > 0 {
+		case u.ramp.Max == 0:
+			err = errMoved
+		case u.ramp.Limit(now) == 0:
+			err = errCold
+		default:
 			return nil
 		}
-		err = errCold
 	}
 	return err
 }
--- a/internal/search/conn.go
+++ b/internal/search/conn.go
@@ -26,6 +26,8 @@
 const (
 	CauseDial    Cause = "dial"    // no connection: nothing was sent
 	CauseCold    Cause = "cold"    // the upstream bears no more now: nothing was sent
+	CauseMoved   Cause = "moved"   // the daemon has no permits now: nothing was sent
+	CauseOut     Cause = "out"     // no replica is in service: nothing was sent
 	CauseShed    Cause = "shed"    // refused for load
 	CauseDrain   Cause = "drain"   // refused: the upstream is leaving
 	CauseVersion Cause = "version" // the snapshot is not held
--- a/internal/world/load.go
+++ b/internal/world/load.go
@@ -172,7 +172,7 @@
 	switch {
 	case errors.As(r.Err, &refusal):
 		t.Refused++
-		t.note("refused: " + refusal.Error())
+		t.note(fmt.Sprintf("refused after %v: %v %v", r.Took, refusal, refusal.Coverage))
 	case r.Err != nil:
 		t.Failed++
 		t.note("failed: " + r.Err.Error())
