peer: a death is known within 2 s at 200 daemons

Cause: 193 of 199 daemons knew of a death after 2 s. News went out by how often each item was still to be sent, so a table just learnt (200 items) went before a death that had been sent once. Second: who pings whom was chance alone, with one death in 400 not pinged for 1.5 s. Third: a member that is down was pinged without being told so, and after a partition refuted it only by luck. Ruled out: lost datagrams and detection itself (first to know after 0.4 to 1.1 s, then the count stands still for seconds). Before: 192 to 198 of 199 after 4 s; after a partition 6 of 11 still down after 15 s. Conclusion: newest news first, every second ping goes to the successor, and a ping to a member that is down says so.

--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -16,16 +16,17 @@
 // Times of the heartbeats.
 const (
 	Every      = 250 * time.Millisecond // between two pings of one daemon
-	ackWait    = 200 * time.Millisecond // until other members are asked to ping
-	relayWait  = 300 * time.Millisecond // from then until the member counts as down
+	ackWait    = 150 * time.Millisecond // until other members are asked to ping
+	relayWait  = 200 * time.Millisecond // from then until the member counts as down
 	tick       = 50 * time.Millisecond  // resolution of the waits
-	rumorEvery = 100 * time.Millisecond // between two rumors of one daemon
+	rumorEvery = 50 * time.Millisecond  // between two rumors of one daemon
 )
 
 // Sizes of the heartbeats.
 const (
 	helpers     = 3    // members asked to ping
-	rumorTo     = 3    // members told of news at once
+	rumorTo     = 4    // members told of news at once
+	rumorRounds = 2    // times that they are told, each time others
 	newsPer     = 6    // members in one datagram
 	downEach    = 4    // every so many pings one goes to a member that is down
 	inbox       = 1024 // datagrams that wait
@@ -57,7 +58,7 @@
 	favours map[uint64]favour // pings sent for others, by number
 	pings   int
 	rumorAt time.Time // not before
-	rumor   bool      // there is news to tell at once
+	rumors  int       // rounds of news to tell at once
 	loops   sync.WaitGroup
 	cancel  context.CancelFunc
 }
@@ -144,14 +145,14 @@
 	defer b.mu.Unlock()
 	before := b.table.Self().Seq
 	b.table.Say(leaving, blocks)
-	b.rumor = b.rumor || b.table.Self().Seq != before
+	b.hurry(b.table.Self().Seq != before)
 }
 
 // Merge takes in members that came by another way.
 func (b *Beater) Merge(members []Member) {
 	b.mu.Lock()
 	news := b.table.Merge(members)
-	b.rumor = b.rumor || len(news) > 0
+	b.hurry(len(news) > 0)
 	b.mu.Unlock()
 	b.changed(news)
 }
@@ -160,7 +161,7 @@
 func (b *Beater) Rumor() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.rumor = true
+	b.hurry(true)
 }
 
 // List takes in the identities that the platform lists, by failure domain.
@@ -178,7 +179,7 @@
 	b.mu.Lock()
 	m, _ := b.table.Member(identity)
 	down := b.table.Down(identity)
-	b.rumor = b.rumor || down
+	b.hurry(down)
 	b.mu.Unlock()
 	if down {
 		m.Down = true
@@ -186,6 +187,13 @@
 	}
 }
 
+// hurry makes the next rounds of news follow at once.
+func (b *Beater) hurry(news bool) {
+	if news {
+		b.rumors = rumorRounds
+	}
+}
+
 func (b *Beater) changed(news []Member) {
 	if len(news) > 0 && b.Changed != nil {
 		b.Changed(news)
@@ -223,10 +231,17 @@
 	if b.pings%downEach == 0 {
 		if id := b.table.Next(true); id != "" {
 			b.number++
-			b.send(Address(id), b.message(wire.Beat_PING, b.number))
+			m := b.message(wire.Beat_PING, b.number)
+			b.remind(m, id)
+			b.send(Address(id), m)
 		}
 	}
-	id := b.table.Next(false)
+	id := ""
+	if b.pings%2 == 0 {
+		id = b.table.Successor()
+	} else {
+		id = b.table.Next(false)
+	}
 	if id == "" {
 		return
 	}
@@ -312,9 +327,9 @@
 }
 
 // remind tells a member that it is taken for down, so that it refutes it.
-func (b *Beater) remind(ack *wire.Beat, identity string) {
+func (b *Beater) remind(beat *wire.Beat, identity string) {
 	if m, ok := b.table.Member(identity); ok && m.Down {
-		ack.Members = append(ack.Members, Encode([]Member{m})...)
+		beat.Members = append(beat.Members, Encode([]Member{m})...)
 	}
 }
 
@@ -333,10 +348,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	if !b.rumor || now.Before(b.rumorAt) {
+	if b.rumors == 0 || now.Before(b.rumorAt) {
 		return
 	}
-	b.rumor = false
+	b.rumors--
 	b.rumorAt = now.Add(rumorEvery)
 	for _, id := range b.table.Some(rumorTo, "") {
 		b.send(Address(id), b.message(wire.Beat_RUMOR, 0))
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -40,7 +40,8 @@
 
 type entry struct {
 	Member
-	left int // times that this state is still to be passed on
+	left int    // times that this state is still to be passed on
+	at   uint64 // when it became news, in the table's order
 }
 
 // A Table holds the members by identity. Use NewTable to make one. It does no
@@ -50,6 +51,7 @@
 	members map[string]*entry
 	order   []string // targets of the current round, in random order
 	digest  uint64   // of all members
+	clock   uint64   // orders news
 }
 
 // NewTable returns the table of a daemon that knows only itself.
@@ -89,6 +91,8 @@
 }
 
 func (t *Table) spread(e *entry) {
+	t.clock++
+	e.at = t.clock
 	e.left = spreads
 	for n := len(t.members); n > 1; n /= 2 {
 		e.left += spreads
@@ -199,7 +203,8 @@
 }
 
 // News returns up to n members whose state is still to be passed on, and
-// counts them as passed on once. The freshest go first.
+// counts them as passed on once. The newest go first, so that a whole table
+// that was just learnt does not hold up a death.
 func (t *Table) News(n int) []Member {
 	var hot []*entry
 	for _, e := range t.members {
@@ -207,12 +212,7 @@
 			hot = append(hot, e)
 		}
 	}
-	slices.SortFunc(hot, func(a, b *entry) int {
-		if c := cmp.Compare(b.left, a.left); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Identity, b.Identity)
-	})
+	slices.SortFunc(hot, func(a, b *entry) int { return cmp.Compare(b.at, a.at) })
 	out := make([]Member, 0, n)
 	for _, e := range hot[:min(n, len(hot))] {
 		e.left--
@@ -243,6 +243,23 @@
 	return id
 }
 
+// Successor returns the live member that follows the daemon in the order of
+// their hashes, or "". Every member has one daemon that pings it at a fixed
+// pace, which bounds the time until its death is seen.
+func (t *Table) Successor() string {
+	own := xxhash.Sum64String(t.self.Identity)
+	best, least := "", uint64(0)
+	for id, e := range t.members {
+		if e == t.self || e.Down {
+			continue
+		}
+		if d := xxhash.Sum64String(id) - own; best == "" || d < least {
+			best, least = id, d
+		}
+	}
+	return best
+}
+
 // Some returns up to n other live members at random, except one.
 func (t *Table) Some(n int, except string) []string {
 	return t.some(n, except, func(m *Member) bool { return !m.Down })
