--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,8 @@
 	keeper   *hold.Keeper
 	entry    *entry.Entry
 	server   *peerServer
-	client   *http.Client
+	client   *http.Client // for other daemons
+	store    *store.Client
 	files    *cert.Files
 	traffic  traffic
 
@@ -141,6 +142,7 @@
 		return err
 	}
 	platform := d.platform()
+	d.store = platform
 	d.buildConf(platform)
 	d.buildRelay(platform)
 	if err := d.buildServers(platform); err != nil {
@@ -295,7 +297,7 @@
 	if stopErr := d.kernel.Stop(ctx); err == nil {
 		err = stopErr
 	}
-	_ = d.socket.Conn.Close()
+	d.release()
 	if err != nil {
 		d.Log.Emit(event.LeaveCut, event.Fields{Step: "leave", Err: err})
 		return err
@@ -304,13 +306,20 @@
 	return nil
 }
 
+// release closes what the services leave open.
+func (d *Daemon) release() {
+	_ = d.socket.Conn.Close()
+	d.client.CloseIdleConnections()
+	d.store.HTTP.CloseIdleConnections()
+}
+
 // Kill ends the daemon at once, as if its VM had failed: connections are cut
 // and nothing is given away.
 func (d *Daemon) Kill() {
-	_ = d.socket.Conn.Close()
 	d.entry.Close()
 	d.server.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = d.kernel.Stop(ctx)
+	d.release()
 }
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -70,6 +70,13 @@
 	return s.next.RoundTrip(r)
 }
 
+// CloseIdleConnections closes the connections that carry no request.
+func (s *single) CloseIdleConnections() {
+	if c, ok := s.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // A peerServer serves other daemons.
 type peerServer struct {
 	daemon   *Daemon
