relay, fakes: a race on an upstream's address; writes in memory do not block

Cause 1 (race detector): probes and calls read an upstream's settings while an update replaced them. The address now stands apart and does not change. Conclusion: a link keeps what is written, as a socket's buffer does.

--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -91,16 +91,19 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: place(address), Err: errors.New("connection refused")}
 	}
 	a, b := net.Pipe()
-	near := &link{Conn: a, network: n, from: from, to: address}
-	far := &link{Conn: b, network: n, from: address, to: from}
+	near, far := n.newLink(a, from, address), n.newLink(b, address, from)
+	var err error
 	select {
 	case l.conns <- far:
 		return near, nil
 	case <-l.done:
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: place(address), Err: errors.New("connection refused")}
+		err = errors.New("connection refused")
 	case <-ctx.Done():
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: place(address), Err: ctx.Err()}
+		err = ctx.Err()
 	}
+	_ = near.Close()
+	_ = far.Close()
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: place(address), Err: err}
 }
 
 // cutPoll is the time between two looks at a cut link.
@@ -161,36 +164,89 @@
 // Addr returns the listener's address.
 func (l *listener) Addr() net.Addr { return l.address }
 
-// link is one end of a connection.
+// link is one end of a connection. What is written waits in memory until the
+// link is whole and the other end reads, so that a writer never blocks with its
+// locks held.
 type link struct {
 	net.Conn
 	network *Network
 	from    string
 	to      string
+	ready   chan struct{} // receives when there is something to do
+
 	mu      sync.Mutex
+	waiting []byte
 	closed  bool
 }
 
-// Write sends b once the link is whole.
+// newLink returns a started end of a connection.
+func (n *Network) newLink(c net.Conn, from, to string) *link {
+	l := &link{Conn: c, network: n, from: from, to: to, ready: make(chan struct{}, 1)}
+	go l.run()
+	return l
+}
+
+// Write keeps b until it can be sent.
 func (l *link) Write(b []byte) (int, error) {
-	for l.network.isCut(l.from, l.to) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return 0, net.ErrClosed
+	}
+	l.waiting = append(l.waiting, b...)
+	l.signal()
+	return len(b), nil
+}
+
+func (l *link) signal() {
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+}
+
+// closeWait bounds the time in which a closed end sends what waits.
+const closeWait = 100 * time.Millisecond
+
+// run sends what waits, until the end is closed.
+func (l *link) run() {
+	for range l.ready {
+		for l.network.isCut(l.from, l.to) && !l.ended() {
+			time.Sleep(cutPoll)
+		}
 		l.mu.Lock()
-		closed := l.closed
+		b, closed := l.waiting, l.closed
+		l.waiting = nil
 		l.mu.Unlock()
 		if closed {
-			return 0, net.ErrClosed
+			_ = l.Conn.SetWriteDeadline(time.Now().Add(closeWait))
+		}
+		var err error
+		if len(b) > 0 {
+			_, err = l.Conn.Write(b)
+		}
+		if closed || err != nil {
+			_ = l.Conn.Close()
+			return
 		}
-		time.Sleep(cutPoll)
 	}
-	return l.Conn.Write(b)
 }
 
-// Close closes the connection.
+func (l *link) ended() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// Close ends reads at once, and the connection once what waits is sent.
 func (l *link) Close() error {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.closed = true
-	l.mu.Unlock()
-	return l.Conn.Close()
+	_ = l.Conn.SetDeadline(time.Now().Add(-time.Second))
+	_ = l.Conn.SetWriteDeadline(time.Now().Add(closeWait))
+	l.signal()
+	return nil
 }
 
 // LocalAddr returns the address of this end.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -91,7 +91,7 @@
 
 // begin sends one request to a replica that was taken.
 func (c *call) begin(ctx context.Context, up *upstr) {
-	c.tried = append(slices.Clone(c.tried), up.conf.Address)
+	c.tried = append(slices.Clone(c.tried), up.address)
 	c.from = append(c.from, up)
 	c.sent++
 	c.air++
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -65,7 +65,7 @@
 	defer cancel()
 	var err error
 	if l.conn == nil {
-		l.conn, err = search.Open(ctx, l.up.conf.Address, l.shard.dial)
+		l.conn, err = search.Open(ctx, l.up.address, l.shard.dial)
 	} else {
 		err = l.conn.Ask(ctx)
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -209,7 +209,7 @@
 		if err != nil {
 			return search.Reply{}, c.telling(err)
 		}
-		c.tried = append(c.tried, up.conf.Address)
+		c.tried = append(c.tried, up.address)
 		c.sent++
 		re, err := c.shard.send(ctx, up, search.PathBook, &c.part)
 		if err == nil || ran(err) != query.RunNone {
--- a/internal/relay/shard.go
+++ b/internal/relay/shard.go
@@ -62,7 +62,7 @@
 	for i := range ups {
 		u := s.find(ups[i].Address)
 		if u == nil {
-			u = &upstr{}
+			u = &upstr{address: ups[i].Address}
 		}
 		u.conf = ups[i]
 		p := hold(&u.conf)
@@ -88,7 +88,7 @@
 
 func (s *shard) find(address string) *upstr {
 	for _, u := range s.ups {
-		if u.conf.Address == address {
+		if u.address == address {
 			return u
 		}
 	}
@@ -147,7 +147,7 @@
 			sum += u.latency
 			known++
 		}
-		if !u.usable(now) || !u.conf.Has(w.pick) || !u.holds(w.version) || slices.Contains(w.avoid, u.conf.Address) {
+		if !u.usable(now) || !u.conf.Has(w.pick) || !u.holds(w.version) || slices.Contains(w.avoid, u.address) {
 			continue
 		}
 		fit = append(fit, u)
@@ -233,7 +233,7 @@
 	err := errNone
 	for _, u := range s.ups {
 		switch {
-		case u.conf.Out || !u.conf.Has(w.pick) || slices.Contains(w.avoid, u.conf.Address):
+		case u.conf.Out || !u.conf.Has(w.pick) || slices.Contains(w.avoid, u.address):
 		case !u.holds(w.version):
 			err = errVersion
 		case u.ramp.Max == 0:
@@ -300,7 +300,7 @@
 func (s *shard) open(ctx context.Context, u *upstr) (*search.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
-	c, err := search.Open(ctx, u.conf.Address, s.dial)
+	c, err := search.Open(ctx, u.address, s.dial)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -350,7 +350,7 @@
 		return
 	}
 	if u.ramp.Good(took, now) && s.warmed != nil {
-		s.warmed(u.conf.Address, re.Start)
+		s.warmed(u.address, re.Start)
 	}
 }
 
@@ -405,7 +405,7 @@
 	var out []warmth
 	for _, u := range s.ups {
 		if u.ramp.Warm(now) {
-			out = append(out, warmth{address: u.conf.Address, start: u.ramp.Start(), first: u.ramp.First})
+			out = append(out, warmth{address: u.address, start: u.ramp.Start(), first: u.ramp.First})
 		}
 	}
 	return out
--- a/internal/relay/upstr.go
+++ b/internal/relay/upstr.go
@@ -19,8 +19,10 @@
 	timelyGoal  = 50 * time.Millisecond // a slower answer does not raise a limit
 )
 
-// An upstr is what the relay knows of one upstream. Its shard's mutex guards it.
+// An upstr is what the relay knows of one upstream. Its shard's mutex guards
+// all but the address, which does not change.
 type upstr struct {
+	address string // IP number and port
 	conf    conf.Upstream
 	ramp    limit.Ramp
 	flight  int            // requests in flight
