relay, hedge: hedge at twice the median, draw two different replicas

Cause: the hedge fired at the 95th percentile, so the budget went to parts that were merely late and stragglers got none; the second of two choices could be the first again, so a slow replica was taken one time in nine; a hedge between holders repeats a whole cell but was paid as one part.

--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -23,7 +23,8 @@
 	cellShare = 0.98                   // quantile of a cell's latency after which another holder is asked
 	cellFirst = 100 * time.Millisecond // before there are latencies
 	cellLeast = 5 * time.Millisecond   // never earlier
-	cellBurst = 8                      // hedges saved up
+	cellBurst = 4                      // hedges saved up
+	cellPart  = 4                      // a class's hedges between holders are one in so many of its hedges
 )
 
 // seconds are the bounds of the latency histograms.
@@ -71,7 +72,7 @@
 // answered counts one answer or refusal.
 func (m *Metrics) answered(kind string, s *object.Selector, took time.Duration, a *query.Answer, r *query.Refusal) {
 	m.answers.WithLabelValues(kind, s.Caller).Observe(took.Seconds())
-	m.hedges(s.Caller).Earn(float64(s.Hedge) / 100)
+	m.hedges(s.Caller).Earn(float64(s.Hedge) / 100 / cellPart)
 	if a != nil {
 		m.coverage.WithLabelValues(s.Caller).Observe(float64(a.Coverage.Merged) / float64(max(a.Coverage.Shards, 1)))
 		m.cells.Add(took)
--- a/internal/hedge/quant.go
+++ b/internal/hedge/quant.go
@@ -19,6 +19,7 @@
 	Share float64       // which quantile, from 0 to 1
 	First time.Duration // value before there are latencies
 	Least time.Duration // lowest value
+	Times float64       // lowest value, in medians of the latencies
 
 	mu     sync.Mutex
 	recent [samples]time.Duration
@@ -42,7 +43,8 @@
 	s := held[:min(q.n, samples)]
 	slices.Sort(s)
 	i := int(math.Ceil(q.Share*float64(len(s)))) - 1
-	q.value = s[min(max(i, 0), len(s)-1)]
+	median := s[len(s)/2]
+	q.value = max(s[min(max(i, 0), len(s)-1)], time.Duration(q.Times*float64(median)))
 }
 
 // Value returns the quantile, at least Least.
--- a/internal/relay/shard.go
+++ b/internal/relay/shard.go
@@ -19,6 +19,7 @@
 const (
 	shardQueue = 64                     // requests of one class that may wait for a replica
 	hedgeShare = 0.95                   // quantile of latency after which a hedge is sent
+	hedgeTimes = 2                      // and not before so many medians
 	hedgeFirst = 50 * time.Millisecond  // before there are latencies
 	hedgeLeast = 2 * time.Millisecond   // never earlier
 	probeWait  = 500 * time.Millisecond // longest wait for a new connection
@@ -43,7 +44,7 @@
 		dial:   dial,
 		warmed: warmed,
 		policy: policy,
-		quant:  hedge.Quant{Share: hedgeShare, First: hedgeFirst, Least: hedgeLeast},
+		quant:  hedge.Quant{Share: hedgeShare, First: hedgeFirst, Least: hedgeLeast, Times: hedgeTimes},
 		queue:  limit.Queue{Bound: shardQueue},
 	}
 }
@@ -159,7 +160,11 @@
 	if s.policy.Random || len(fit) == 1 {
 		return a
 	}
-	b := fit[rand.IntN(len(fit))]
+	// The second choice is another one: a slow replica is not drawn against itself.
+	b := fit[rand.IntN(len(fit)-1)]
+	if b == a {
+		b = fit[len(fit)-1]
+	}
 	mean := sum / time.Duration(max(known, 1))
 	if b.cost(now, mean) < a.cost(now, mean) {
 		return b
--- a/internal/relay/upstr.go
+++ b/internal/relay/upstr.go
@@ -10,9 +10,9 @@
 
 // Constants of the choice between replicas.
 const (
-	latencyGain = 0.2                    // weight of the newest latency in the mean
-	latencyAge  = 500 * time.Millisecond // age after which a mean is worth half
-	dialRetry   = 50 * time.Millisecond  // pause after a failed dial, doubled up to dialMost
+	latencyGain = 0.2                   // weight of the newest latency in the mean
+	latencyAge  = 2 * time.Second       // age after which a mean is worth half
+	dialRetry   = 50 * time.Millisecond // pause after a failed dial, doubled up to dialMost
 	dialMost    = time.Second
 	drainPause  = time.Second           // pause after an upstream said that it drains
 	closeLinger = 5 * time.Millisecond  // until a closed connection no longer counts
