--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -11,9 +11,14 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"bronzedoor.dev/bronzedoor/internal/draw"
 	"bronzedoor.dev/bronzedoor/internal/object"
 )
 
+func TestMain(m *testing.M) {
+	draw.Main(m)
+}
+
 func selector(rev uint64, deadline int) object.Object {
 	body := fmt.Sprintf(`{"caller":"c","service":"s","deadline":%d,"floor":0,"tries":1}`, deadline)
 	return object.Object{Kind: object.KindSelector, Name: "c", Revision: rev, Body: []byte(body)}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -89,7 +90,8 @@
 }
 
 // advanced puts a new configuration in force and tells some peers at once.
-func (d *Daemon) advanced(uint64) {
+func (d *Daemon) advanced(rev uint64) {
+	d.Log.Emit(event.ConfApplied, event.Fields{Step: "apply", Detail: strconv.FormatUint(rev, 10)})
 	d.keeper.Wake()
 	d.beater.Rumor()
 }
--- a/internal/hedge/quant.go
+++ b/internal/hedge/quant.go
@@ -20,6 +20,7 @@
 	First time.Duration // value before there are latencies
 	Least time.Duration // lowest value
 	Times float64       // lowest value, in medians of the latencies
+	Most  float64       // highest value, in medians; 0 for none
 
 	mu     sync.Mutex
 	recent [samples]time.Duration
@@ -43,8 +44,13 @@
 	s := held[:min(q.n, samples)]
 	slices.Sort(s)
 	i := int(math.Ceil(q.Share*float64(len(s)))) - 1
-	median := s[len(s)/2]
-	q.value = max(s[min(max(i, 0), len(s)-1)], time.Duration(q.Times*float64(median)))
+	median := float64(s[len(s)/2])
+	q.value = max(s[min(max(i, 0), len(s)-1)], time.Duration(q.Times*median))
+	if q.Most > 0 {
+		// A replica that is slow throughout must not raise the quantile to
+		// its own latency.
+		q.value = min(q.value, time.Duration(q.Most*median))
+	}
 }
 
 // Value returns the quantile, at least Least.
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -260,7 +260,7 @@
 			continue
 		}
 		owners := Owners(b.Cell, k.blocks(view, b.Cell), candidates)
-		to := Target(k.Self.Identity, len(owners), owners, func(id string) int { return has[holding{id, b.Cell}] })
+		to := Target(k.Self.Identity, owners, func(id string) int { return has[holding{id, b.Cell}] })
 		if to == "" || to == k.Self.Identity {
 			continue
 		}
--- a/internal/hold/owners.go
+++ b/internal/hold/owners.go
@@ -49,7 +49,7 @@
 // Target returns to whom a daemon should give one of its blocks of a cell, or
 // "" when it should keep them. owners are the daemons that should own the
 // cell's blocks; has returns how many blocks of the cell a daemon owns.
-func Target(self string, blocks int, owners []string, has func(identity string) int) string {
+func Target(self string, owners []string, has func(identity string) int) string {
 	if len(owners) == 0 {
 		return ""
 	}
--- /dev/null
+++ b/internal/hold/owners_test.go
@@ -0,0 +1,81 @@
+package hold
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bronzedoor.dev/bronzedoor/internal/draw"
+)
+
+func TestMain(m *testing.M) {
+	draw.Main(m)
+}
+
+func candidates(n int) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{Identity: fmt.Sprintf("127.0.0.1:%d#s", i), Domain: fmt.Sprintf("d%d", i%3)})
+	}
+	return out
+}
+
+// TestOwnersDrawn finds that owners differ, lie in different domains as far as
+// there are any, and stay when a daemon that owns nothing goes.
+func TestOwnersDrawn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := candidates(rapid.IntRange(1, 30).Draw(t, "daemons"))
+		n := rapid.IntRange(1, 5).Draw(t, "blocks")
+		owners := Owners("cell", n, all)
+		if len(owners) != min(n, len(all)) {
+			t.Fatalf("%d owners of %d", len(owners), len(all))
+		}
+		seen := make(map[string]bool)
+		domains := make(map[string]bool)
+		for _, o := range owners {
+			seen[o] = true
+			for _, c := range all {
+				if c.Identity == o {
+					domains[c.Domain] = true
+				}
+			}
+		}
+		if len(seen) != len(owners) || len(domains) != min(3, len(owners)) {
+			t.Fatalf("owners %v in %d domains", owners, len(domains))
+		}
+		for i, c := range all {
+			if seen[c.Identity] {
+				continue
+			}
+			rest := append(append([]Candidate{}, all[:i]...), all[i+1:]...)
+			if got := Owners("cell", n, rest); fmt.Sprint(got) != fmt.Sprint(owners) {
+				t.Fatalf("without %s: %v, before %v", c.Identity, got, owners)
+			}
+			return
+		}
+	})
+}
+
+func TestTarget(t *testing.T) {
+	tests := []struct {
+		name   string
+		owners []string
+		has    []int // of a, b and c
+		want   string
+	}{
+		{name: "not an owner gives to the one with least", owners: []string{"b", "c"}, has: []int{2, 1, 0}, want: "c"},
+		{name: "even stays", owners: []string{"a", "b", "c"}, has: []int{1, 1, 1}, want: ""},
+		{name: "one more stays", owners: []string{"a", "b"}, has: []int{2, 1, 0}, want: ""},
+		{name: "two more gives", owners: []string{"a", "b"}, has: []int{3, 0, 0}, want: "b"},
+		{name: "nobody to give to", has: []int{3, 0, 0}, want: ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			has := func(id string) int { return tt.has[id[0]-'a'] }
+			is.Equal(Target("a", tt.owners, has), tt.want)
+		})
+	}
+}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -8,8 +8,14 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"bronzedoor.dev/bronzedoor/internal/draw"
 )
 
+func TestMain(m *testing.M) {
+	draw.Main(m)
+}
+
 var epoch = time.Unix(0, 0)
 
 func TestRamp(t *testing.T) {
--- a/internal/merge/merge_test.go
+++ b/internal/merge/merge_test.go
@@ -7,9 +7,14 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"bronzedoor.dev/bronzedoor/internal/draw"
 	"bronzedoor.dev/bronzedoor/pkg/query"
 )
 
+func TestMain(m *testing.M) {
+	draw.Main(m)
+}
+
 func TestEachShardIsMergedOnce(t *testing.T) {
 	is := is.New(t)
 	m := New(3, 10)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,9 +11,14 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"bronzedoor.dev/bronzedoor/internal/draw"
 	"bronzedoor.dev/bronzedoor/internal/fakes"
 )
 
+func TestMain(m *testing.M) {
+	draw.Main(m)
+}
+
 // TestTablesAgreeDrawn gives the same states to tables in any order, some
 // twice, and finds that they end with the same digest.
 func TestTablesAgreeDrawn(t *testing.T) {
--- a/internal/permit/model_test.go
+++ b/internal/permit/model_test.go
@@ -1,15 +1,15 @@
 package permit
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"bronzedoor.dev/bronzedoor/internal/draw"
 )
 
 // model is a fleet of ledgers for one slot, with a store, a VM list and a
@@ -54,16 +54,8 @@
 
 var slot = Slot{Cell: "c", Index: 0}
 
-// draws is the number of schedules that are drawn, unless a flag says otherwise.
-const draws = "2000"
-
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-		_ = flag.Set("rapid.checks", draws)
-	}
-	os.Exit(m.Run())
+	draw.Main(m)
 }
 
 func name(i int) string {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -73,7 +73,11 @@
 				return search.Reply{}, c.last
 			}
 		case <-timer.C:
-			c.hedge(ctx, b)
+			if !c.hedge(ctx, b) {
+				// Those that are merely late are done by the next look, so
+				// that what the budget earns goes to the slowest.
+				timer.Reset(c.shard.quant.Value() / 2)
+			}
 		case <-ctx.Done():
 			return search.Reply{}, &search.Error{Cause: search.CauseLate, Err: ctx.Err()}
 		}
@@ -106,20 +110,21 @@
 }
 
 // hedge sends one more request if the class has a budget for it and another
-// replica is free now.
-func (c *call) hedge(ctx context.Context, b *budgets) {
+// replica is free now. It reports false when a later look may do better.
+func (c *call) hedge(ctx context.Context, b *budgets) bool {
 	if c.shard.policy.NoHedge || c.sent >= c.selector.Tries {
-		return
+		return true
 	}
 	up := c.shard.takeNow(c.want())
 	if up == nil {
-		return
+		return false
 	}
 	if !b.hedge.Spend() {
 		c.shard.release(up)
-		return
+		return false
 	}
 	c.begin(ctx, up)
+	return true
 }
 
 // again takes in a failed attempt, and reports whether an answer may still come.
--- a/internal/relay/shard.go
+++ b/internal/relay/shard.go
@@ -19,7 +19,8 @@
 const (
 	shardQueue = 64                     // requests of one class that may wait for a replica
 	hedgeShare = 0.95                   // quantile of latency after which a hedge is sent
-	hedgeTimes = 2                      // and not before so many medians
+	hedgeTimes = 1.5                    // and not before so many medians
+	hedgeMost  = 2                      // and not after so many
 	hedgeFirst = 50 * time.Millisecond  // before there are latencies
 	hedgeLeast = 2 * time.Millisecond   // never earlier
 	probeWait  = 500 * time.Millisecond // longest wait for a new connection
@@ -44,7 +45,7 @@
 		dial:   dial,
 		warmed: warmed,
 		policy: policy,
-		quant:  hedge.Quant{Share: hedgeShare, First: hedgeFirst, Least: hedgeLeast, Times: hedgeTimes},
+		quant:  hedge.Quant{Share: hedgeShare, First: hedgeFirst, Least: hedgeLeast, Times: hedgeTimes, Most: hedgeMost},
 		queue:  limit.Queue{Bound: shardQueue},
 	}
 }
--- /dev/null
+++ b/internal/setup/setup_test.go
@@ -0,0 +1,62 @@
+package setup
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const good = `
+address = "127.0.0.1:7001"
+peer = "127.0.0.1:7101"
+domain = "accra"
+objects = "127.0.0.1:7901"
+machine = "127.0.0.1:7902"
+`
+
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string // problems
+	}{
+		{name: "good", text: good},
+		{name: "unknown key", text: good + "colour = 1\n", want: []string{"f:7: colour: no such setting"}},
+		{name: "host name", text: good + `peers = ["store.example:1"]`, want: []string{`f:7: peers: "store.example:1" is not an IP number and a port, like 127.0.0.1:7101`}},
+		{name: "wrong unit", text: good + `drain = "7 ells"`, want: []string{`f:7: drain: "7 ells" is not a time with its unit, like 5s or 300ms`}},
+		{name: "below zero", text: good + `drain = "-7s"`, want: []string{`f:7: drain: "-7s" is below zero`}},
+		{name: "half of tls", text: good + "[tls]\ncert = \"c\"\n", want: []string{"f:7: tls: cert, key and root go together"}},
+		{name: "all at once", text: good + "log = \"loud\"\ndrain = \"1s\"\n", want: []string{
+			`f:7: log: "loud" is not debug, info, warning or error`, "f:8: drain: 1s is not above linger, 5s",
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s, err := Parse("f", tt.text)
+			if tt.want == nil {
+				is.NoErr(err)
+				is.Equal(time.Duration(s.Linger), defaultLinger)
+				return
+			}
+			var got []string
+			for _, p := range err.(Problems) {
+				got = append(got, p.String())
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "drain = 5")
+	f.Add("[[[")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("f", text)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v, error %v", s, err)
+		}
+	})
+}
