--- a/internal/cert/cert.go
+++ b/internal/cert/cert.go
@@ -6,12 +6,12 @@
 	"crypto/tls"
 	"crypto/x509"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 )
 
 // checkEvery is the time between two looks at the files.
@@ -26,8 +26,7 @@
 	Log  *event.Log
 
 	now    atomic.Pointer[pair]
-	loops  sync.WaitGroup
-	cancel context.CancelFunc
+	duties kern.Duties
 }
 
 // pair is one state of the files.
@@ -42,23 +41,21 @@
 	if err := f.read(); err != nil {
 		return err
 	}
-	ctx, f.cancel = context.WithCancel(ctx)
-	f.loops.Add(1)
+	ctx = f.duties.Begin(ctx, 1)
 	go f.loop(ctx)
 	return nil
 }
 
 // Stop ends the looks at the files.
 func (f *Files) Stop(context.Context) error {
-	f.cancel()
-	f.loops.Wait()
+	f.duties.End()
 	return nil
 }
 
 // loop reads the files when they change, until ctx ends. Files that are wrong
 // leave the ones before in force.
 func (f *Files) loop(ctx context.Context) {
-	defer f.loops.Done()
+	defer f.duties.Done()
 	t := time.NewTicker(checkEvery)
 	defer t.Stop()
 	for {
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -13,6 +13,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/draw"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/pace"
 )
 
 func TestMain(m *testing.M) {
@@ -107,7 +108,7 @@
 					p, err := tt.store.read(ctx)
 					if err == nil && p.Revision <= since {
 						p.Objects = nil
-						sleep(ctx, wait)
+						pace.Sleep(ctx, wait)
 					}
 					return p, err
 				}
--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/pace"
 	"bronzedoor.dev/bronzedoor/internal/ring"
 )
 
@@ -49,8 +49,7 @@
 	Log      *event.Log
 
 	hints  *ring.Ring[Hint]
-	loops  sync.WaitGroup
-	cancel context.CancelFunc
+	duties kern.Duties
 }
 
 // hintRing is the number of hints that may wait; the newest matter most.
@@ -63,8 +62,7 @@
 
 // Start starts following.
 func (f *Follower) Start(ctx context.Context) error {
-	ctx, f.cancel = context.WithCancel(ctx)
-	f.loops.Add(3)
+	ctx = f.duties.Begin(ctx, 3)
 	go f.loop(ctx)
 	go f.pollLoop(ctx)
 	go f.pullLoop(ctx)
@@ -73,8 +71,7 @@
 
 // Stop ends following.
 func (f *Follower) Stop(context.Context) error {
-	f.cancel()
-	f.loops.Wait()
+	f.duties.End()
 	return nil
 }
 
@@ -85,14 +82,14 @@
 
 // loop reads from the store until ctx ends.
 func (f *Follower) loop(ctx context.Context) {
-	defer f.loops.Done()
+	defer f.duties.Done()
 	retry := retryFirst
 	for ctx.Err() == nil {
 		more, err := f.read(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
 			f.Log.Emit(event.WatchFailed, event.Fields{Step: "watch", Err: err})
-			sleep(ctx, retry/2+rand.N(retry))
+			pace.Sleep(ctx, pace.Jitter(retry))
 			retry = min(2*retry, retryMost)
 			continue
 		case !more && !f.watches() && f.Book.Revision() > 0:
@@ -105,9 +102,9 @@
 // pollLoop reads without waiting, beside the watch, until ctx ends. Failures
 // are the watch's to report.
 func (f *Follower) pollLoop(ctx context.Context) {
-	defer f.loops.Done()
+	defer f.duties.Done()
 	for ctx.Err() == nil {
-		sleep(ctx, pollOften/2+rand.N(pollOften))
+		pace.Sleep(ctx, pace.Jitter(pollOften))
 		if !f.watches() || f.Book.Revision() == 0 || ctx.Err() != nil {
 			continue
 		}
@@ -124,9 +121,9 @@
 // idle waits until it is time to read again without a watch, or until this
 // daemon becomes a watcher.
 func (f *Follower) idle(ctx context.Context) {
-	end := time.Now().Add(pollRarely/2 + rand.N(pollRarely))
+	end := time.Now().Add(pace.Jitter(pollRarely))
 	for ctx.Err() == nil && time.Now().Before(end) && !f.watches() {
-		sleep(ctx, time.Second)
+		pace.Sleep(ctx, time.Second)
 	}
 }
 
@@ -143,7 +140,7 @@
 	f.apply(p, "store")
 	if since == 0 && len(p.Objects) == 0 {
 		// The store is empty, or too old to serve: don't ask without a pause.
-		sleep(ctx, retryFirst)
+		pace.Sleep(ctx, retryFirst)
 	}
 	return p.More, nil
 }
@@ -164,7 +161,7 @@
 
 // pullLoop reads from peers until ctx ends.
 func (f *Follower) pullLoop(ctx context.Context) {
-	defer f.loops.Done()
+	defer f.duties.Done()
 	for {
 		select {
 		case <-ctx.Done():
@@ -192,12 +189,3 @@
 		f.apply(p, h.Peer)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,6 +93,8 @@
 	remotes map[string]*remote // by address
 	states  map[string]state   // of members, by identity, as last logged
 	differs time.Time          // tables may be compared again
+	ranked  uint64             // digest of the members that watches goes by
+	watches bool               // this daemon is a watcher
 }
 
 // New returns a daemon that is ready to start.
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -1,10 +1,8 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -78,15 +76,26 @@
 // that rank first among the live ones. Daemons that see the fleet differently
 // may disagree, which costs some calls and no more.
 func (d *Daemon) watcher() bool {
-	var ranks []uint64
+	digest := d.beater.Digest()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if digest != d.ranked {
+		d.ranked = digest
+		d.watches = d.rank() < watchers
+	}
+	return d.watches
+}
+
+// rank returns how many live daemons rank before this one.
+func (d *Daemon) rank() int {
+	own := xxhash.Sum64String(d.identity)
+	n := 0
 	for _, m := range d.beater.Members() {
-		if !m.Down {
-			ranks = append(ranks, xxhash.Sum64String(m.Identity))
+		if !m.Down && xxhash.Sum64String(m.Identity) < own {
+			n++
 		}
 	}
-	slices.Sort(ranks)
-	i, _ := slices.BinarySearchFunc(ranks, xxhash.Sum64String(d.identity), cmp.Compare)
-	return i < watchers
+	return n
 }
 
 // advanced puts a new configuration in force and tells some peers at once.
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/peer"
 	"bronzedoor.dev/bronzedoor/internal/wire"
 )
@@ -17,28 +17,25 @@
 // settings, until the daemon has a configuration.
 type joiner struct {
 	daemon *Daemon
-	loops  sync.WaitGroup
-	cancel context.CancelFunc
+	duties kern.Duties
 }
 
 // Start starts the tries.
 func (j *joiner) Start(ctx context.Context) error {
-	ctx, j.cancel = context.WithCancel(ctx)
-	j.loops.Add(1)
+	ctx = j.duties.Begin(ctx, 1)
 	go j.loop(ctx)
 	return nil
 }
 
 // Stop ends the tries.
 func (j *joiner) Stop(context.Context) error {
-	j.cancel()
-	j.loops.Wait()
+	j.duties.End()
 	return nil
 }
 
 // loop asks the peers until one has helped, or ctx ends.
 func (j *joiner) loop(ctx context.Context) {
-	defer j.loops.Done()
+	defer j.duties.Done()
 	t := time.NewTicker(joinEvery)
 	defer t.Stop()
 	for {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 )
 
 // A Status is what a daemon says to operators.
@@ -85,28 +85,25 @@
 // A sweeper removes old claims. One of the watchers does it at a time.
 type sweeper struct {
 	daemon *Daemon
-	loops  sync.WaitGroup
-	cancel context.CancelFunc
+	duties kern.Duties
 }
 
 // Start starts the sweeps.
 func (s *sweeper) Start(ctx context.Context) error {
-	ctx, s.cancel = context.WithCancel(ctx)
-	s.loops.Add(1)
+	ctx = s.duties.Begin(ctx, 1)
 	go s.loop(ctx)
 	return nil
 }
 
 // Stop ends the sweeps.
 func (s *sweeper) Stop(context.Context) error {
-	s.cancel()
-	s.loops.Wait()
+	s.duties.End()
 	return nil
 }
 
 // loop sweeps until ctx ends.
 func (s *sweeper) loop(ctx context.Context) {
-	defer s.loops.Done()
+	defer s.duties.Done()
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 	for {
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -214,9 +214,6 @@
 		if int(n) < c.cell.First || int(n) >= c.cell.First+len(c.cell.Shards) {
 			return fault.New("cell", "", "reply of shard %d", n)
 		}
-		if len(re.Merged) > 1 && len(c.cell.Shards) < len(re.Merged) {
-			return fault.New("cell", "", "reply of too many shards")
-		}
 	}
 	return nil
 }
@@ -230,7 +227,7 @@
 
 // loop keeps the pins of quiet services known until ctx ends.
 func (e *Entry) loop(ctx context.Context) {
-	defer e.loops.Done()
+	defer e.duties.Done()
 	t := time.NewTicker(learnEvery)
 	defer t.Stop()
 	for {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/conf"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/limit"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/once"
@@ -64,8 +65,7 @@
 	leaving atomic.Bool
 	records *ring.Ring[Record]
 	serial  atomic.Uint64
-	loops   sync.WaitGroup
-	cancel  context.CancelFunc
+	duties  kern.Duties
 
 	mu    sync.Mutex
 	gates map[string]*limit.Gate // by caller class
@@ -73,7 +73,7 @@
 
 // Start starts serving.
 func (e *Entry) Start(ctx context.Context) error {
-	ctx, e.cancel = context.WithCancel(ctx)
+	ctx = e.duties.Begin(ctx, 2)
 	e.records = ring.New[Record](explained)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+query.PathQuery, e.handleQuery)
@@ -93,7 +93,6 @@
 		TLSConfig:         e.TLS,
 		ErrorLog:          silent,
 	}
-	e.loops.Add(2)
 	go e.run()
 	go e.loop(ctx)
 	return nil
@@ -101,7 +100,7 @@
 
 // run accepts connections until Stop.
 func (e *Entry) run() {
-	defer e.loops.Done()
+	defer e.duties.Done()
 	if e.TLS != nil {
 		_ = e.server.ServeTLS(e.Listener, "", "")
 		return
@@ -119,8 +118,7 @@
 // Stop returns when all requests are answered, or when ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
 	err := e.server.Shutdown(ctx)
-	e.cancel()
-	e.loops.Wait()
+	e.duties.End()
 	return err
 }
 
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -8,6 +8,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/conf"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/peer"
 	"bronzedoor.dev/bronzedoor/internal/permit"
 	"bronzedoor.dev/bronzedoor/internal/relay"
@@ -61,8 +62,7 @@
 	digest   uint64    // of the members that were planned with
 	planAt   time.Time // plan again by then, whatever has changed
 
-	loops  sync.WaitGroup
-	cancel context.CancelFunc
+	duties kern.Duties
 }
 
 // A word says that upstreams of a cell are warm.
@@ -90,8 +90,7 @@
 
 // Start starts the keeper's duties.
 func (k *Keeper) Start(ctx context.Context) error {
-	ctx, k.cancel = context.WithCancel(ctx)
-	k.loops.Add(3)
+	ctx = k.duties.Begin(ctx, 3)
 	go k.loop(ctx)
 	go k.storeLoop(ctx)
 	go k.warmLoop(ctx)
@@ -100,8 +99,7 @@
 
 // Stop ends the keeper's duties.
 func (k *Keeper) Stop(context.Context) error {
-	k.cancel()
-	k.loops.Wait()
+	k.duties.End()
 	return nil
 }
 
@@ -157,7 +155,7 @@
 
 // loop does what needs no store until ctx ends.
 func (k *Keeper) loop(ctx context.Context) {
-	defer k.loops.Done()
+	defer k.duties.Done()
 	t := time.NewTicker(turnEvery)
 	defer t.Stop()
 	for {
@@ -215,7 +213,7 @@
 		k.mu.Unlock()
 	}
 	for _, g := range gifts {
-		k.loops.Add(1)
+		k.duties.Add()
 		go (&errand{keeper: k, gift: g}).run(ctx)
 	}
 }
@@ -397,7 +395,7 @@
 // turn sends it again.
 func (e *errand) run(ctx context.Context) {
 	k := e.keeper
-	defer k.loops.Done()
+	defer k.duties.Done()
 	warm := k.Relay.Warm(e.gift.Cell, true)
 	call, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
--- a/internal/hold/record.go
+++ b/internal/hold/record.go
@@ -10,6 +10,7 @@
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/pace"
 	"bronzedoor.dev/bronzedoor/internal/peer"
 	"bronzedoor.dev/bronzedoor/internal/permit"
 	"bronzedoor.dev/bronzedoor/internal/store"
@@ -29,7 +30,7 @@
 
 // storeLoop does what needs the store until ctx ends.
 func (k *Keeper) storeLoop(ctx context.Context) {
-	defer k.loops.Done()
+	defer k.duties.Done()
 	wait := storeEvery
 	for {
 		if err := k.storeTurn(ctx); err != nil && ctx.Err() == nil {
@@ -38,7 +39,7 @@
 		} else {
 			wait = storeEvery
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if !pace.Sleep(ctx, pace.Jitter(wait)) {
 			return
 		}
 	}
@@ -345,7 +346,7 @@
 
 // warmLoop passes words on warm upstreams on until ctx ends.
 func (k *Keeper) warmLoop(ctx context.Context) {
-	defer k.loops.Done()
+	defer k.duties.Done()
 	t := time.NewTicker(warmEvery)
 	defer t.Stop()
 	for {
--- /dev/null
+++ b/internal/kern/duty.go
@@ -0,0 +1,36 @@
+package kern
+
+import (
+	"context"
+	"sync"
+)
+
+// Duties are the goroutines of a service. The zero value is ready to use.
+type Duties struct {
+	work   sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// Begin counts n goroutines that are about to start, and returns the context
+// that ends with them. Each calls Done when it returns.
+func (d *Duties) Begin(ctx context.Context, n int) context.Context {
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.work.Add(n)
+	return ctx
+}
+
+// Add counts one goroutine more.
+func (d *Duties) Add() {
+	d.work.Add(1)
+}
+
+// Done counts one goroutine out.
+func (d *Duties) Done() {
+	d.work.Done()
+}
+
+// End ends the context and returns when all goroutines have returned.
+func (d *Duties) End() {
+	d.cancel()
+	d.work.Wait()
+}
--- a/internal/peer/beat.go
+++ b/internal/peer/beat.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/permit"
 	"bronzedoor.dev/bronzedoor/internal/ring"
 	"bronzedoor.dev/bronzedoor/internal/wire"
@@ -59,8 +60,7 @@
 	pings   int
 	rumorAt time.Time // not before
 	rumors  int       // rounds of news to tell at once
-	loops   sync.WaitGroup
-	cancel  context.CancelFunc
+	duties  kern.Duties
 }
 
 // A wait is a ping that has no answer yet.
@@ -87,16 +87,14 @@
 
 // Start starts the heartbeats.
 func (b *Beater) Start(ctx context.Context) error {
-	ctx, b.cancel = context.WithCancel(ctx)
-	b.loops.Add(1)
+	ctx = b.duties.Begin(ctx, 1)
 	go b.loop(ctx)
 	return nil
 }
 
 // Stop ends the heartbeats.
 func (b *Beater) Stop(context.Context) error {
-	b.cancel()
-	b.loops.Wait()
+	b.duties.End()
 	return nil
 }
 
@@ -108,7 +106,7 @@
 
 // loop sends pings and handles datagrams until ctx ends.
 func (b *Beater) loop(ctx context.Context) {
-	defer b.loops.Done()
+	defer b.duties.Done()
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	next := time.Now()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"slices"
@@ -63,7 +64,7 @@
 	is := is.New(t)
 	f := &fleet{network: fakes.NewNetwork(1)}
 	var members []Member
-	for i := range n {
+	for range n {
 		address := f.network.Address()
 		c, err := f.network.Packet(address)
 		is.NoErr(err)
@@ -76,7 +77,6 @@
 		members = append(members, Member{Identity: b.Self.Identity, Seq: 1})
 		f.beaters = append(f.beaters, b)
 		f.conns = append(f.conns, c)
-		_ = i
 	}
 	for _, b := range f.beaters {
 		b.Learn(members)
@@ -94,7 +94,7 @@
 
 func (f *fleet) stop() {
 	for i, b := range f.beaters {
-		_ = b.Stop(nil)
+		_ = b.Stop(context.Background())
 		_ = f.conns[i].Close()
 	}
 }
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -53,6 +53,7 @@
 	order   []string // targets of the current round, in random order
 	digest  uint64   // of all members
 	clock   uint64   // orders news
+	sorted  []Member // all members by identity; nil after a change
 }
 
 // NewTable returns the table of a daemon that knows only itself.
@@ -85,6 +86,7 @@
 
 // set replaces a member's state and marks it as news.
 func (t *Table) set(e *entry, next Member) {
+	t.sorted = nil
 	t.digest ^= hash(&e.Member)
 	e.Member = next
 	t.digest ^= hash(&e.Member)
@@ -179,6 +181,7 @@
 	if t.members[identity] != nil {
 		return
 	}
+	t.sorted = nil
 	e := &entry{Member: Member{Identity: identity, Domain: domain, Down: true}}
 	t.members[identity] = e
 	t.digest ^= hash(&e.Member)
@@ -190,6 +193,7 @@
 		if e == t.self || !e.Down || listed(id) {
 			continue
 		}
+		t.sorted = nil
 		t.digest ^= hash(&e.Member)
 		delete(t.members, id)
 	}
@@ -204,14 +208,18 @@
 	return e.Member, true
 }
 
-// Members returns all members by identity.
+// Members returns all members by identity. The slice is shared and must not be
+// changed; a later change of the table makes a new one.
 func (t *Table) Members() []Member {
-	out := make([]Member, 0, len(t.members))
+	if t.sorted != nil {
+		return t.sorted
+	}
+	t.sorted = make([]Member, 0, len(t.members))
 	for _, e := range t.members {
-		out = append(out, e.Member)
+		t.sorted = append(t.sorted, e.Member)
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Identity, b.Identity) })
-	return out
+	slices.SortFunc(t.sorted, func(a, b Member) int { return cmp.Compare(a.Identity, b.Identity) })
+	return t.sorted
 }
 
 // News returns up to n members whose state is still to be passed on, and
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/conf"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/permit"
 	"bronzedoor.dev/bronzedoor/internal/search"
@@ -31,8 +32,7 @@
 	owned  []permit.Block
 	view   *conf.View
 	work   sync.WaitGroup // requests to upstreams
-	cancel context.CancelFunc
-	loops  sync.WaitGroup
+	duties kern.Duties
 }
 
 // An Outcome is what came of one part.
@@ -57,8 +57,7 @@
 
 // Start starts the probes of upstreams.
 func (r *Relay) Start(ctx context.Context) error {
-	ctx, r.cancel = context.WithCancel(ctx)
-	r.loops.Add(1)
+	ctx = r.duties.Begin(ctx, 1)
 	go r.loop(ctx)
 	return nil
 }
@@ -66,8 +65,7 @@
 // Stop waits until no request is in the air, or ctx ends, and closes all
 // connections.
 func (r *Relay) Stop(ctx context.Context) error {
-	r.cancel()
-	r.loops.Wait()
+	r.duties.End()
 	idle := &idler{work: &r.work, done: make(chan struct{})}
 	go idle.run()
 	select {
@@ -96,7 +94,7 @@
 
 // loop looks at upstreams until ctx ends.
 func (r *Relay) loop(ctx context.Context) {
-	defer r.loops.Done()
+	defer r.duties.Done()
 	t := time.NewTicker(probeEvery)
 	defer t.Stop()
 	for {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,6 +22,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/pace"
 )
 
 // Errors that callers ask for with errors.Is.
@@ -128,7 +129,7 @@
 		if err == nil {
 			return rev, nil
 		}
-		if !pause(ctx) {
+		if !pace.Sleep(ctx, settlePause) {
 			return 0, fault.Wrap(ErrUnsure, "settle", c.Objects)
 		}
 	}
@@ -138,17 +139,6 @@
 // settlePause is the time between two looks at an unsure write.
 const settlePause = 20 * time.Millisecond
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(settlePause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Changes lists objects of the kinds that were written after since. It waits
 // up to wait for one to appear.
 func (c *Client) Changes(ctx context.Context, kinds []object.Kind, since uint64, limit int, wait time.Duration) (List, error) {
