--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/conf"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/peer"
 	"bronzedoor.dev/bronzedoor/internal/wire"
@@ -16,12 +17,21 @@
 // A joiner learns the fleet and its configuration from the peers in the
 // settings, until the daemon has a configuration.
 type joiner struct {
-	daemon *Daemon
-	duties kern.Duties
+	daemon   *Daemon
+	members  *peer.Beater
+	follower *conf.Follower
+	duties   kern.Duties
 }
 
 // Start starts the tries.
 func (j *joiner) Start(ctx context.Context) error {
+	var err error
+	if j.members, err = kern.Lookup[*peer.Beater](&j.daemon.kernel, serviceMembers); err != nil {
+		return err
+	}
+	if j.follower, err = kern.Lookup[*conf.Follower](&j.daemon.kernel, serviceConf); err != nil {
+		return err
+	}
 	ctx = j.duties.Begin(ctx, 1)
 	go j.loop(ctx)
 	return nil
@@ -42,7 +52,7 @@
 		for _, address := range j.daemon.Settings.Peers {
 			j.ask(ctx, address)
 		}
-		if j.daemon.book.Revision() > 0 {
+		if j.follower.Book.Revision() > 0 {
 			return
 		}
 		select {
@@ -61,8 +71,8 @@
 	if err != nil {
 		return
 	}
-	d.beater.Learn(peer.Decode(re.Members))
-	if re.Revision > d.book.Revision() {
-		d.follower.Newer(re.Identity, re.Revision)
+	j.members.Learn(peer.Decode(re.Members))
+	if re.Revision > j.follower.Book.Revision() {
+		j.follower.Newer(re.Identity, re.Revision)
 	}
 }
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/conf"
+	"bronzedoor.dev/bronzedoor/internal/hold"
+	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/peer"
+	"bronzedoor.dev/bronzedoor/internal/relay"
 	"bronzedoor.dev/bronzedoor/internal/wire"
 	"bronzedoor.dev/bronzedoor/pkg/query"
 )
@@ -88,9 +91,17 @@
 // Start starts serving.
 func (p *peerServer) Start(context.Context) error {
 	d := p.daemon
+	r, err := kern.Lookup[*relay.Relay](&d.kernel, serviceRelay)
+	if err != nil {
+		return err
+	}
+	k, err := kern.Lookup[*hold.Keeper](&d.kernel, serviceHold)
+	if err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
-	cells := wire.NewCellsServer(d.relay)
-	fleet := wire.NewFleetServer(&fleetService{daemon: d})
+	cells := wire.NewCellsServer(r)
+	fleet := wire.NewFleetServer(&fleetService{daemon: d, relay: r, keeper: k})
 	mux.Handle(cells.PathPrefix(), cells)
 	mux.Handle(fleet.PathPrefix(), fleet)
 	mux.HandleFunc("GET "+query.PathStatus, d.handleStatus)
@@ -135,6 +146,8 @@
 // fleetService serves wire.Fleet.
 type fleetService struct {
 	daemon *Daemon
+	relay  *relay.Relay
+	keeper *hold.Keeper
 }
 
 // Changes returns configuration objects after a revision.
@@ -155,17 +168,17 @@
 
 // Give passes a gift to the keeper.
 func (f *fleetService) Give(ctx context.Context, req *wire.GiveRequest) (*wire.GiveReply, error) {
-	return f.daemon.keeper.Give(ctx, req)
+	return f.keeper.Give(ctx, req)
 }
 
 // Fence passes a fence to the keeper.
 func (f *fleetService) Fence(ctx context.Context, req *wire.FenceRequest) (*wire.FenceReply, error) {
-	return f.daemon.keeper.Fence(ctx, req)
+	return f.keeper.Fence(ctx, req)
 }
 
 // Warm passes a word on warm upstreams to the relay.
 func (f *fleetService) Warm(_ context.Context, req *wire.WarmRequest) (*wire.WarmReply, error) {
-	f.daemon.relay.Told(req.Warm)
+	f.relay.Told(req.Warm)
 	return &wire.WarmReply{}, nil
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/entry"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 )
@@ -85,11 +86,16 @@
 // A sweeper removes old claims. One of the watchers does it at a time.
 type sweeper struct {
 	daemon *Daemon
+	entry  *entry.Entry
 	duties kern.Duties
 }
 
 // Start starts the sweeps.
 func (s *sweeper) Start(ctx context.Context) error {
+	var err error
+	if s.entry, err = kern.Lookup[*entry.Entry](&s.daemon.kernel, serviceEntry); err != nil {
+		return err
+	}
 	ctx = s.duties.Begin(ctx, 1)
 	go s.loop(ctx)
 	return nil
@@ -115,7 +121,7 @@
 		if !s.daemon.watcher() {
 			continue
 		}
-		n, err := s.daemon.entry.Claims.Sweep(ctx, sweepSome, time.Now())
+		n, err := s.entry.Claims.Sweep(ctx, sweepSome, time.Now())
 		if n > 0 || err != nil {
 			s.daemon.Log.Emit(event.ClaimsSwept, event.Fields{Step: "sweep", Err: err, Detail: strconv.Itoa(n)})
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -227,6 +227,15 @@
 	return t, nil
 }
 
+// begin admits a request, or refuses it and reports false.
+func (e *Entry) begin(w http.ResponseWriter, r *http.Request, id, caller string, deadline int) (*ticket, bool) {
+	t, refusal := e.admit(r.Context(), id, caller, deadline)
+	if refusal != nil {
+		e.refuse(w, refusal)
+	}
+	return t, refusal == nil
+}
+
 func (e *Entry) gate(s *object.Selector) *limit.Gate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/entry/single.go
+++ b/internal/entry/single.go
@@ -20,9 +20,8 @@
 	if !decode(e, w, r, &req, (*query.Check).Validate) {
 		return
 	}
-	t, refusal := e.admit(r.Context(), req.ID, req.Caller, req.Deadline)
-	if refusal != nil {
-		e.refuse(w, refusal)
+	t, ok := e.begin(w, r, req.ID, req.Caller, req.Deadline)
+	if !ok {
 		return
 	}
 	defer t.leave()
