conf, hold: each duty is a loop method of its owner

Cause: four goroutines were methods with names of their own on two owners, against the house style. Each duty is now a small type with a loop method; no behaviour changes. Ruled out: merging the poll into the watch, which may stall. Not run for this commit: the race detector over everything.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -64,8 +64,8 @@
 func (f *Follower) Start(ctx context.Context) error {
 	ctx = f.duties.Begin(ctx, 3)
 	go f.loop(ctx)
-	go f.pollLoop(ctx)
-	go f.pullLoop(ctx)
+	go (&poller{f}).loop(ctx)
+	go (&puller{f}).loop(ctx)
 	return nil
 }
 
@@ -99,9 +99,13 @@
 	}
 }
 
-// pollLoop reads without waiting, beside the watch, until ctx ends. Failures
-// are the watch's to report.
-func (f *Follower) pollLoop(ctx context.Context) {
+// A poller reads from the store beside the watch.
+type poller struct {
+	*Follower
+}
+
+// loop reads without waiting until ctx ends. Failures are the watch's to report.
+func (f *poller) loop(ctx context.Context) {
 	defer f.duties.Done()
 	for ctx.Err() == nil {
 		pace.Sleep(ctx, pace.Jitter(pollOften))
@@ -159,8 +163,13 @@
 	}
 }
 
-// pullLoop reads from peers until ctx ends.
-func (f *Follower) pullLoop(ctx context.Context) {
+// A puller reads from the peers that are ahead.
+type puller struct {
+	*Follower
+}
+
+// loop reads from peers until ctx ends.
+func (f *puller) loop(ctx context.Context) {
 	defer f.duties.Done()
 	for {
 		select {
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -92,8 +92,8 @@
 func (k *Keeper) Start(ctx context.Context) error {
 	ctx = k.duties.Begin(ctx, 3)
 	go k.loop(ctx)
-	go k.storeLoop(ctx)
-	go k.warmLoop(ctx)
+	go (&recorder{k}).loop(ctx)
+	go (&notifier{k}).loop(ctx)
 	return nil
 }
 
--- a/internal/hold/record.go
+++ b/internal/hold/record.go
@@ -28,8 +28,13 @@
 // fences is the number of daemons that are asked at a time.
 const fences = 32
 
-// storeLoop does what needs the store until ctx ends.
-func (k *Keeper) storeLoop(ctx context.Context) {
+// A recorder does the keeper's work that needs the store.
+type recorder struct {
+	*Keeper
+}
+
+// loop works until ctx ends, and backs off while the store fails.
+func (k *recorder) loop(ctx context.Context) {
 	defer k.duties.Done()
 	wait := storeEvery
 	for {
@@ -344,8 +349,13 @@
 	k.warm.Put(word{cell: cell, warm: warm})
 }
 
-// warmLoop passes words on warm upstreams on until ctx ends.
-func (k *Keeper) warmLoop(ctx context.Context) {
+// A notifier tells co-holders which upstreams are warm.
+type notifier struct {
+	*Keeper
+}
+
+// loop passes on what becomes warm, and all of it now and then, until ctx ends.
+func (k *notifier) loop(ctx context.Context) {
 	defer k.duties.Done()
 	t := time.NewTicker(warmEvery)
 	defer t.Stop()
