--- a/cmd/bronzedoor/main.go
+++ b/cmd/bronzedoor/main.go
@@ -35,6 +35,7 @@
 type commands struct {
 	Demo     demoCmd     `cmd:"" help:"Run the whole system in one process, with stand-ins, and judge it."`
 	Daemon   daemonCmd   `cmd:"" help:"Run a daemon."`
+	Serve    serveCmd    `cmd:"" help:"Run a daemon on the users' platform."`
 	Check    checkCmd    `cmd:"" help:"Check files of settings or of objects."`
 	Apply    applyCmd    `cmd:"" help:"Write the objects of files."`
 	Label    labelCmd    `cmd:"" help:"Change or list labels."`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,17 @@
 	ClaimsSwept   ID = 602
 	FilesReread   ID = 700
 	FilesFailed   ID = 701
+	Answered      ID = 800
+	TableTaken    ID = 801
+	TableRefused  ID = 802
+	RosterChanged ID = 803
+	EntryRefused  ID = 804
+	SourceLost    ID = 805
+	SourceFound   ID = 806
+	SettingsRead  ID = 807
+	SettingsBad   ID = 808
+	MembersKnown  ID = 809
+	MemberFailed  ID = 810
 )
 
 // A Kind describes an event.
@@ -73,16 +84,28 @@
 		{ClaimsSwept, "claims swept", logrus.InfoLevel},
 		{FilesReread, "certificate re-read", logrus.InfoLevel},
 		{FilesFailed, "certificate not re-read", logrus.ErrorLevel},
+		{Answered, "answer without a whole success", logrus.WarnLevel},
+		{TableTaken, "routing table in force", logrus.InfoLevel},
+		{TableRefused, "routing table refused", logrus.ErrorLevel},
+		{RosterChanged, "upstreams changed", logrus.InfoLevel},
+		{EntryRefused, "registration refused", logrus.WarnLevel},
+		{SourceLost, "metadata store lost", logrus.WarnLevel},
+		{SourceFound, "metadata store regained", logrus.InfoLevel},
+		{SettingsRead, "settings read", logrus.InfoLevel},
+		{SettingsBad, "settings not read", logrus.ErrorLevel},
+		{MembersKnown, "members of the fleet changed", logrus.InfoLevel},
+		{MemberFailed, "member record not written", logrus.WarnLevel},
 	}
 }
 
 // Fields are what an event says besides its number. Empty ones are left out.
 type Fields struct {
-	Step   string
-	Peer   string
-	Class  string // caller class
-	Detail string
-	Err    error
+	Step    string
+	Peer    string
+	Request string // identity of a caller's request
+	Class   string // caller class, or route
+	Detail  string
+	Err     error
 }
 
 // keep is the number of recent events that a Log holds.
@@ -127,7 +150,7 @@
 	k := kindOf(id)
 	e := l.out.WithField("event", int(id))
 	for _, p := range []struct{ key, value string }{
-		{"step", f.Step}, {"peer", f.Peer}, {"class", f.Class}, {"detail", f.Detail},
+		{"step", f.Step}, {"peer", f.Peer}, {"request", f.Request}, {"class", f.Class}, {"detail", f.Detail},
 	} {
 		if p.value != "" {
 			e = e.WithField(p.key, p.value)
--- /dev/null
+++ b/internal/flow/flow.go
@@ -0,0 +1,307 @@
+// Package flow serves requests: it admits them, sends them or their parts to
+// replicas, hedges and retries within limits, and makes one answer.
+package flow
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/kern"
+	"bronzedoor.dev/bronzedoor/internal/limit"
+	"bronzedoor.dev/bronzedoor/internal/link"
+	"bronzedoor.dev/bronzedoor/internal/pick"
+	"bronzedoor.dev/bronzedoor/internal/roster"
+	"bronzedoor.dev/bronzedoor/internal/route"
+)
+
+// Bounds are the limits that all daemons keep together.
+type Bounds struct {
+	Ratio     float64       // extra requests for each first one, of each service
+	Slack     float64       // extra requests on top in each window
+	Window    time.Duration // of Ratio and Slack
+	ColdTimes float64       // a cold upstream gets at most so many times its rate,
+	ColdSlack float64       // and so many requests a second on top
+}
+
+// A Request is what a caller asks.
+type Request struct {
+	Payload *link.Payload
+	Table   *route.Table
+	Route   *route.Route
+	Arrived time.Time
+	Due     time.Time // the caller's deadline or the route's timeout, whichever is sooner
+}
+
+// A Kind says what an Answer is.
+type Kind int
+
+// Kinds of answers.
+const (
+	Served  Kind = iota // a success
+	Relayed             // an upstream's failure, to be passed on unchanged
+	Refused             // the request has not run and never will
+	Lost                // the request may have run, and there is no answer
+	Late                // the deadline came first
+	Gone                // the caller left
+)
+
+// String returns the kind in a word.
+func (k Kind) String() string {
+	return [...]string{"served", "relayed", "refused", "lost", "late", "gone"}[k]
+}
+
+// An Answer is what the caller gets.
+type Answer struct {
+	Kind   Kind
+	Status int // of a served or relayed answer
+	Header http.Header
+	Body   []byte
+	Proofs []string      // of the parts of a gathered answer
+	Missed int           // shards that are left out of a gathered answer
+	Again  time.Duration // when a refused caller is best back
+	Reason string        // why it is not a whole success
+}
+
+// A Flow serves requests. Set the exported fields, then Start.
+type Flow struct {
+	Domain  string // failure domain of this daemon
+	Region  string
+	Codec   *link.Codec
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	Members func() int // daemons that share the limits; at least 1
+	Log     *event.Log
+	Meter   *Meter // may be nil
+
+	mu     sync.Mutex
+	bounds Bounds
+	groups map[string]*group // by service
+	stats  map[string]*stat  // by route
+	table  *route.Table
+	base   context.Context // ends when the flow stops
+	split  route.Splitter
+	duties kern.Duties
+}
+
+// A group is the upstreams of one service.
+type group struct {
+	name  string
+	extra limit.Extra
+
+	mu      sync.Mutex
+	targets []*target
+	changed chan struct{} // closed and made anew when a request ends or a target changes
+}
+
+// Start makes the flow ready to serve.
+func (f *Flow) Start(ctx context.Context) error {
+	f.base = f.duties.Begin(ctx, 1)
+	go f.loop(f.base)
+	return nil
+}
+
+// Stop ends all work.
+func (f *Flow) Stop(context.Context) error {
+	f.duties.End()
+	return nil
+}
+
+// tidyEvery is the time between two looks at idle connections.
+const tidyEvery = 500 * time.Millisecond
+
+// loop closes connections that have been idle for too long, until ctx ends.
+func (f *Flow) loop(ctx context.Context) {
+	defer f.duties.Done()
+	t := time.NewTicker(tidyEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f.tidy()
+		}
+	}
+}
+
+func (f *Flow) tidy() {
+	now := time.Now()
+	members := f.Members()
+	for _, g := range f.all() {
+		g.share(f.limits(), members)
+		for _, t := range g.list() {
+			t.share(f.service(g.name), members)
+			t.pool.Trim(now)
+		}
+	}
+}
+
+// Limit changes the bounds.
+func (f *Flow) Limit(b Bounds) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bounds = b
+}
+
+func (f *Flow) limits() Bounds {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bounds
+}
+
+// Configure takes in a new table.
+func (f *Flow) Configure(t *route.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table = t
+	known := make(map[string]bool, len(t.Routes))
+	for i := range t.Routes {
+		known[t.Routes[i].Name] = true
+	}
+	for name := range f.stats {
+		if !known[name] {
+			delete(f.stats, name)
+		}
+	}
+}
+
+func (f *Flow) service(name string) route.Service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table == nil {
+		return route.Service{Name: name}
+	}
+	return f.table.Service(name)
+}
+
+// Update takes in a new view of the upstreams.
+func (f *Flow) Update(v *roster.View) {
+	members := f.Members()
+	for name, ups := range v.Services {
+		g := f.group(name)
+		g.update(f, ups, f.service(name), members)
+	}
+	for _, g := range f.all() {
+		if len(v.Services[g.name]) == 0 {
+			g.update(f, nil, route.Service{}, members)
+		}
+	}
+}
+
+// group returns the group of a service, made if need be.
+func (f *Flow) group(name string) *group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.groups == nil {
+		f.groups = make(map[string]*group)
+	}
+	g := f.groups[name]
+	if g == nil {
+		g = &group{name: name, changed: make(chan struct{})}
+		f.groups[name] = g
+		g.share(f.bounds, f.Members())
+	}
+	return g
+}
+
+func (f *Flow) all() []*group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]*group, 0, len(f.groups))
+	for _, g := range f.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// spare is the part of a shared limit that is used: what a daemon counts when a
+// request leaves is counted by others when it arrives.
+const spare = 0.85
+
+// share sets this daemon's part of the service's extra requests.
+func (g *group) share(b Bounds, members int) {
+	g.extra.Set(spare*b.Ratio, spare*b.Slack/float64(max(members, 1)), b.Window)
+}
+
+func (g *group) list() []*target {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.targets
+}
+
+// wake lets those look again that wait for a replica.
+func (g *group) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// wait returns a channel that is closed at the next change.
+func (g *group) wait() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+// update takes in the upstreams of the service.
+func (g *group) update(f *Flow, ups []*roster.Upstream, s route.Service, members int) {
+	g.mu.Lock()
+	next := make([]*target, 0, len(ups))
+	for _, u := range ups {
+		t := g.find(u)
+		if t == nil {
+			t = newTarget(f, g, u)
+		}
+		t.rep.SetCold(u.ColdTill)
+		t.share(s, members)
+		next = append(next, t)
+	}
+	var gone []*target
+	for _, t := range g.targets {
+		if !contains(next, t) {
+			gone = append(gone, t)
+		}
+	}
+	g.targets = next
+	g.mu.Unlock()
+	for _, t := range gone {
+		t.close()
+	}
+	g.wake()
+}
+
+// find returns the target of an upstream. One that started anew under its old
+// ID is another one: nothing known of it holds any more.
+func (g *group) find(u *roster.Upstream) *target {
+	for _, t := range g.targets {
+		if t.up.ID == u.ID && t.up.Address == u.Address && t.up.Born == u.Born {
+			return t
+		}
+	}
+	return nil
+}
+
+func contains(all []*target, t *target) bool {
+	for _, o := range all {
+		if o == t {
+			return true
+		}
+	}
+	return false
+}
+
+func newTarget(f *Flow, g *group, u *roster.Upstream) *target {
+	t := &target{
+		up:    u,
+		flow:  f,
+		group: g,
+		rep:   &pick.Replica{Slots: u.Slots},
+		pool:  &link.Pool{Address: u.Address, ID: u.ID, Codec: f.Codec, Dial: f.Dial},
+	}
+	t.ctx, t.cancel = context.WithCancel(f.base)
+	return t
+}
--- /dev/null
+++ b/internal/flow/gather.go
@@ -0,0 +1,128 @@
+package flow
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/link"
+	"bronzedoor.dev/bronzedoor/internal/merge"
+)
+
+// A gather collects the parts of one request's answer.
+type gather struct {
+	request *Request
+	least   int // parts in an answer, at the least
+	open    int // shards without an outcome
+	sends   int
+	parts   [][]byte
+	proofs  []string
+	missing []string // why shards are missing
+}
+
+// leastParts returns how many of n shards make up a share.
+func leastParts(n int, share float64) int {
+	// A share of 0.7 of ten shards is seven, whatever the rounding of 0.7.
+	const rounding = 1e-9
+	return max(int(math.Ceil(share*float64(n)-rounding)), 1)
+}
+
+// gather asks all shards of a route and merges their parts. The answer leaves
+// when all parts are in or those that are out can't come in time; a part is
+// waited for past the objective only while there are too few.
+func (f *Flow) gather(ctx context.Context, q *Request, tr *trace) Answer {
+	n := len(q.Route.Shards)
+	g := &gather{request: q, least: leastParts(n, q.Route.Least), open: n}
+	if reachable := f.reachable(q); reachable < g.least {
+		return Answer{Kind: Refused, Again: againDown, Reason: fmt.Sprintf("%d of %d shards reachable", reachable, n)}
+	}
+	out := make(chan outcome, n)
+	st := f.stat(q.Route.Name)
+	var aim time.Time
+	for i, service := range q.Route.Shards {
+		l := f.leg(q, st, tr, service, out)
+		l.index = i
+		l.patient = l.aim
+		aim = l.aim
+		go l.run(ctx)
+	}
+	timer := time.NewTimer(time.Until(aim))
+	defer timer.Stop()
+	late := false
+	for g.open > 0 && g.possible() {
+		select {
+		case o := <-out:
+			g.take(o)
+		case <-timer.C:
+			late = true
+		case <-ctx.Done():
+			return g.end(Late)
+		}
+		if late && len(g.parts) >= g.least {
+			break
+		}
+	}
+	return g.end(Lost)
+}
+
+// reachable counts the shards that have a replica in use, or one that may be
+// back in a moment.
+func (f *Flow) reachable(q *Request) int {
+	n := 0
+	now := time.Now()
+	c := &choice{request: q}
+	for _, service := range q.Route.Shards {
+		if f.hope(f.group(service), c, now) != none {
+			n++
+		}
+	}
+	return n
+}
+
+// possible reports whether there can still be enough parts.
+func (g *gather) possible() bool {
+	return len(g.parts)+g.open >= g.least
+}
+
+// take takes in the outcome of one shard.
+func (g *gather) take(o outcome) {
+	g.open--
+	g.sends += o.sends
+	if o.reply.Result != link.Whole {
+		g.missing = append(g.missing, fmt.Sprintf("%d: %s", o.index, o.why))
+		return
+	}
+	if slices.Contains(g.proofs, o.reply.Proof) {
+		// Two shards can't have given the same proof: one of them is wrong.
+		g.missing = append(g.missing, fmt.Sprintf("%d: proof seen before", o.index))
+		return
+	}
+	g.parts = append(g.parts, o.reply.Body)
+	g.proofs = append(g.proofs, o.reply.Proof)
+}
+
+// end makes the answer of the parts that are in.
+func (g *gather) end(failure Kind) Answer {
+	n := len(g.request.Route.Shards)
+	reason := ""
+	if len(g.parts) < n {
+		reason = fmt.Sprintf("%d of %d shards, %d open %v", len(g.parts), n, g.open, g.missing)
+	}
+	if len(g.parts) < g.least {
+		if g.open == 0 && g.sends == 0 {
+			return Answer{Kind: Refused, Again: againBusy, Reason: reason}
+		}
+		return Answer{Kind: failure, Again: againBusy, Reason: reason}
+	}
+	return Answer{
+		Kind:   Served,
+		Status: http.StatusOK,
+		Body:   merge.Greatest(g.parts, g.request.Route.Top),
+		Proofs: g.proofs,
+		Missed: n - len(g.parts),
+		Reason: reason,
+	}
+}
--- /dev/null
+++ b/internal/flow/leg.go
@@ -0,0 +1,231 @@
+package flow
+
+import (
+	"context"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/link"
+)
+
+// A leg brings a request, or one shard's part of it, to the upstreams of one
+// service: to one at first, and to others after a failure or as a hedge.
+type leg struct {
+	flow    *Flow
+	group   *group
+	request *Request
+	stat    *stat
+	trace   *trace
+	index   int // of the shard; 0 for a request that goes to one upstream
+	aim     time.Time
+	patient time.Time // until when a request waits to be sent
+	out     chan<- outcome
+
+	tried   []*target // upstreams that got the request and may have run it, or were not reached
+	runs    int       // upstreams on which the request may have run
+	sends   int       // requests that left
+	flying  int       // requests without a result
+	replies chan sent
+	failure link.Reply // the last failure; the zero value if there was none
+}
+
+// A sent is the reply to one request that was sent.
+type sent struct {
+	target *target
+	reply  link.Reply
+	extra  bool
+}
+
+// An outcome is what came of a leg.
+type outcome struct {
+	index int
+	reply link.Reply // Unsent if no upstream got the request
+	sends int
+	why   string // why there is no success
+}
+
+// A try sends one request.
+type try struct {
+	leg    *leg
+	target *target
+	extra  bool
+}
+
+func (t *try) run(ctx context.Context) {
+	re := t.target.send(ctx, t.leg.request, t.leg.stat)
+	t.leg.replies <- sent{target: t.target, reply: re, extra: t.extra}
+}
+
+// mostSends bounds the requests that a leg sends, refused ones counted.
+const mostSends = 6
+
+// run serves the leg and tells its outcome.
+func (l *leg) run(ctx context.Context) {
+	l.replies = make(chan sent, mostSends)
+	l.out <- l.serve(ctx)
+}
+
+// serve sends the request until there is an answer, or none can come.
+func (l *leg) serve(ctx context.Context) outcome {
+	l.group.extra.First(time.Now())
+	if why := l.first(ctx); why != "" {
+		return l.end(link.Reply{Result: link.Unsent}, why)
+	}
+	hedge := time.NewTimer(l.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case s := <-l.replies:
+			l.flying--
+			if l.take(s) {
+				return l.end(s.reply, "")
+			}
+			if l.again(ctx, s) || l.flying > 0 {
+				continue
+			}
+			return l.end(l.failure, l.failure.Result.String())
+		case <-hedge.C:
+			if l.request.Route.Repeatable {
+				hedge.Reset(l.hedge(ctx))
+			}
+		case <-ctx.Done():
+			return l.end(link.Reply{Result: link.Unknown, Err: ctx.Err()}, "deadline")
+		}
+	}
+}
+
+func (l *leg) end(re link.Reply, why string) outcome {
+	return outcome{index: l.index, reply: re, sends: l.sends, why: why}
+}
+
+// first sends the first request, waiting for an upstream if that may help. It
+// returns why none was sent, or nothing.
+func (l *leg) first(ctx context.Context) string {
+	c := &choice{request: l.request, stat: l.stat}
+	for {
+		changed := l.group.wait()
+		now := time.Now()
+		if t := l.flow.choose(l.group, c, now); t != nil && t.allowed(now) {
+			l.send(ctx, t, false)
+			return ""
+		}
+		till := l.patient
+		switch l.flow.hope(l.group, c, now) {
+		case none:
+			return "no upstream"
+		case soon:
+			till = now.Add(probeHope)
+		case later:
+		}
+		timer := time.NewTimer(till.Sub(now))
+		select {
+		case <-changed:
+			timer.Stop()
+		case <-timer.C:
+			return "busy"
+		case <-ctx.Done():
+			timer.Stop()
+			return "deadline"
+		}
+	}
+}
+
+// allowed counts a request to a cold upstream, and reports whether it may go.
+func (t *target) allowed(now time.Time) bool {
+	return !t.rep.Cold(now) || t.cold.Take(now)
+}
+
+// send sends the request to an upstream.
+func (l *leg) send(ctx context.Context, t *target, extra bool) {
+	l.tried = append(l.tried, t)
+	l.runs++
+	l.sends++
+	l.flying++
+	go (&try{leg: l, target: t, extra: extra}).run(ctx)
+}
+
+// take takes in a reply, and reports whether it ends the leg.
+func (l *leg) take(s sent) bool {
+	l.trace.add(l.index, s)
+	switch s.reply.Result {
+	case link.Whole:
+		return true
+	case link.Unsent:
+		l.sends--
+		l.runs--
+		if s.extra {
+			l.group.extra.Give(time.Now())
+		}
+		if l.failure.Result == link.Unsent {
+			l.failure = s.reply
+		}
+		return false
+	case link.Refused, link.Moved:
+		l.runs--
+	case link.Failed, link.Unknown:
+	}
+	// What may have run says more than what surely did not.
+	if l.failure.Result != link.Failed && l.failure.Result != link.Unknown || s.reply.Result == link.Failed {
+		l.failure = s.reply
+	}
+	return false
+}
+
+// again sends the request to another upstream after a failure, and reports
+// whether it did.
+func (l *leg) again(ctx context.Context, s sent) bool {
+	ran := s.reply.Result == link.Failed || s.reply.Result == link.Unknown
+	if ran && !l.request.Route.Repeatable || ctx.Err() != nil {
+		return false
+	}
+	return l.extra(ctx, s.reply.Result == link.Unsent)
+}
+
+// extra sends one more request if the limits allow it. One in place of a
+// request that was never sent is not an extra one.
+func (l *leg) extra(ctx context.Context, free bool) bool {
+	if l.runs >= l.request.Route.Attempts || l.sends >= mostSends {
+		return false
+	}
+	now := time.Now()
+	c := &choice{request: l.request, stat: l.stat, avoid: l.tried}
+	t := l.flow.choose(l.group, c, now)
+	if t == nil || !t.allowed(now) {
+		return false
+	}
+	free = free && l.sends == 0
+	if !free && !l.group.extra.Take(now) {
+		l.trace.note(l.index, "budget")
+		return false
+	}
+	l.send(ctx, t, !free)
+	return true
+}
+
+// Times between two looks at whether a hedge is due.
+const (
+	hedgeLook = 10 * time.Millisecond
+	hedgeDone = time.Hour // no further hedge
+)
+
+// hedge sends a second request, and returns when to look again.
+func (l *leg) hedge(ctx context.Context) time.Duration {
+	if l.runs >= l.request.Route.Attempts || l.flying == 0 {
+		return hedgeDone
+	}
+	if l.extra(ctx, false) {
+		return hedgeDone
+	}
+	return hedgeLook
+}
+
+// hedgeDelay returns how long the first request is waited for alone: beyond
+// what such requests nearly always take, but early enough for a second one to
+// be answered in time.
+func (l *leg) hedgeDelay() time.Duration {
+	first := l.tried[0]
+	typical := l.stat.typical()
+	d := first.far() + l.stat.tail.Value()
+	latest := time.Until(l.aim) - farRound - 2*typical
+	least := first.far() + tailTimes*typical
+	return max(min(d, latest), least)
+}
--- /dev/null
+++ b/internal/flow/serve.go
@@ -0,0 +1,122 @@
+package flow
+
+import (
+	"context"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/link"
+	"bronzedoor.dev/bronzedoor/internal/route"
+)
+
+// Constants of an answer's timing.
+const (
+	aimShare  = 0.9                    // an answer leaves before this share of the latency objective
+	sendShare = 0.25                   // a request waits for an upstream up to this share of it
+	aimFirst  = 300 * time.Millisecond // objective of a route that sets none
+	linger    = 400 * time.Millisecond // how long upstreams may go on once there is an answer
+)
+
+// Serve answers a request. ctx ends when the caller has left.
+func (f *Flow) Serve(ctx context.Context, q *Request) Answer {
+	work, cancel := context.WithDeadline(f.base, q.Due)
+	stop := context.AfterFunc(ctx, cancel)
+	tr := &trace{begun: q.Arrived}
+	var a Answer
+	if q.Route.Gathers() {
+		a = f.gather(work, q, tr)
+	} else {
+		a = f.forward(work, q, tr)
+	}
+	if stop() {
+		// A replica that is nearly done keeps its connection.
+		time.AfterFunc(linger, cancel)
+	} else {
+		a.Kind = Gone
+	}
+	f.Meter.answer(q, &a)
+	if a.Kind != Served || a.Missed > 0 {
+		f.Log.Emit(event.Answered, event.Fields{
+			Step:    "serve",
+			Request: q.Payload.ID,
+			Class:   q.Route.Name,
+			Detail:  a.String() + " " + tr.String(),
+		})
+	}
+	return a
+}
+
+// leg returns a leg of a request.
+func (f *Flow) leg(q *Request, st *stat, tr *trace, service string, out chan<- outcome) *leg {
+	target := q.Route.Target
+	if target <= 0 {
+		target = aimFirst
+	}
+	return &leg{
+		flow:    f,
+		group:   f.group(service),
+		request: q,
+		stat:    st,
+		trace:   tr,
+		aim:     q.Arrived.Add(time.Duration(aimShare * float64(target))),
+		patient: q.Arrived.Add(time.Duration(sendShare * float64(target))),
+		out:     out,
+	}
+}
+
+// forward sends a request to one service and passes the answer on.
+func (f *Flow) forward(ctx context.Context, q *Request, tr *trace) Answer {
+	out := make(chan outcome, 1)
+	l := f.leg(q, f.stat(q.Route.Name), tr, f.split.Next(q.Table, q.Route), out)
+	l.run(ctx)
+	o := <-out
+	switch re := o.reply; re.Result {
+	case link.Whole:
+		return Answer{Kind: Served, Status: re.Status, Header: re.Header, Body: re.Body}
+	case link.Failed:
+		return Answer{Kind: Relayed, Status: re.Status, Header: re.Header, Body: re.Body, Reason: "upstream failed"}
+	case link.Unsent, link.Refused, link.Moved:
+		return Answer{Kind: Refused, Again: f.again(l.group), Reason: o.why}
+	case link.Unknown:
+		if ended(re.Err) {
+			return Answer{Kind: Late, Reason: o.why}
+		}
+	}
+	return Answer{Kind: Lost, Reason: o.why}
+}
+
+// Times after which a refused caller is best back.
+const (
+	againBusy = 150 * time.Millisecond // a slot becomes free
+	againDown = 700 * time.Millisecond // an upstream may have come back
+)
+
+// again returns when a caller is best back whom a service could not serve.
+func (f *Flow) again(g *group) time.Duration {
+	for _, t := range g.list() {
+		if t.rep.Usable() {
+			return againBusy
+		}
+	}
+	return againDown
+}
+
+// Find returns the route of a request, or nil.
+func (f *Flow) Find(host, path string) (*route.Table, *route.Route) {
+	f.mu.Lock()
+	t := f.table
+	f.mu.Unlock()
+	if t == nil {
+		return nil, nil
+	}
+	return t, t.Match(host, path)
+}
+
+// String returns the answer's kind and reason on one line.
+func (a *Answer) String() string {
+	s := a.Kind.String()
+	if a.Reason != "" {
+		s += " (" + a.Reason + ")"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/flow/stat.go
@@ -0,0 +1,61 @@
+package flow
+
+import (
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/hedge"
+)
+
+// Constants of the latencies of a route.
+const (
+	typicalFirst = 30 * time.Millisecond // before there are latencies
+	typicalLeast = 2 * time.Millisecond
+	tailShare    = 0.95 // quantile of latency after which a hedge is sent
+	tailTimes    = 2.0  // but not before so many medians
+	tailMost     = 4.0  // and not after so many
+)
+
+// A stat is the recent latencies of one route's requests, without the way to
+// the upstream.
+type stat struct {
+	median hedge.Quant
+	tail   hedge.Quant
+}
+
+func newStat() *stat {
+	return &stat{
+		median: hedge.Quant{Share: 0.5, First: typicalFirst, Least: typicalLeast},
+		tail: hedge.Quant{
+			Share: tailShare,
+			First: tailTimes * typicalFirst,
+			Least: tailTimes * typicalLeast,
+			Times: tailTimes,
+			Most:  tailMost,
+		},
+	}
+}
+
+func (s *stat) add(d time.Duration) {
+	s.median.Add(d)
+	s.tail.Add(d)
+}
+
+// typical returns the median latency.
+func (s *stat) typical() time.Duration {
+	return s.median.Value()
+}
+
+// stat returns the latencies of a route.
+func (f *Flow) stat(name string) *stat {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stats == nil {
+		f.stats = make(map[string]*stat)
+	}
+	s := f.stats[name]
+	if s == nil {
+		s = newStat()
+		f.stats[name] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/flow/target.go
@@ -0,0 +1,177 @@
+package flow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/limit"
+	"bronzedoor.dev/bronzedoor/internal/link"
+	"bronzedoor.dev/bronzedoor/internal/pace"
+	"bronzedoor.dev/bronzedoor/internal/pick"
+	"bronzedoor.dev/bronzedoor/internal/roster"
+	"bronzedoor.dev/bronzedoor/internal/route"
+)
+
+// Round trips that are assumed until a connection was opened.
+const (
+	nearRound = time.Millisecond      // within a region
+	farRound  = 40 * time.Millisecond // between regions
+)
+
+// A target is one upstream: its condition, its connections and its probe.
+type target struct {
+	up    *roster.Upstream
+	flow  *Flow
+	group *group
+	rep   *pick.Replica
+	pool  *link.Pool
+	cold  limit.Rate
+
+	ctx    context.Context // ends when the upstream is gone
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	probing time.Time // since when; zero if it isn't
+}
+
+// share sets this daemon's part of the upstream's limits.
+func (t *target) share(s route.Service, members int) {
+	n := max(members, 1)
+	if s.Conns > 0 {
+		t.pool.SetMax(s.Conns / n)
+	} else {
+		t.pool.SetMax(max(t.up.Slots, 1))
+	}
+	b := t.flow.limits()
+	allowed := -1.0
+	if s.ColdRate > 0 {
+		allowed = spare * (s.ColdRate*b.ColdTimes + b.ColdSlack) / float64(n)
+	}
+	t.cold.Set(allowed)
+}
+
+// far returns the round trip to the upstream.
+func (t *target) far() time.Duration {
+	if d := t.pool.Round(); d > 0 {
+		return d
+	}
+	if t.up.Region == t.flow.Region {
+		return nearRound
+	}
+	return farRound
+}
+
+func (t *target) close() {
+	t.cancel()
+	t.pool.Close()
+}
+
+// fail takes the target out of use until a connection to it can be opened.
+func (t *target) fail() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.probing.IsZero() || t.ctx.Err() != nil {
+		return
+	}
+	t.probing = time.Now()
+	t.rep.SetDown(true)
+	go (&prober{t}).run(t.ctx)
+}
+
+// probed returns for how long the target has been probed without success.
+func (t *target) probed(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.probing.IsZero() {
+		return 0
+	}
+	return now.Sub(t.probing)
+}
+
+// A prober opens a connection to a target that failed.
+type prober struct {
+	*target
+}
+
+// Times between two probes.
+const (
+	probeFirst = 100 * time.Millisecond
+	probeMost  = 800 * time.Millisecond
+)
+
+// run probes until a connection is open or ctx ends.
+func (p *prober) run(ctx context.Context) {
+	wait := probeFirst
+	for ctx.Err() == nil {
+		if p.pool.Probe(ctx) == nil {
+			p.found()
+			return
+		}
+		pace.Sleep(ctx, pace.Jitter(wait))
+		wait = min(2*wait, probeMost)
+	}
+}
+
+// found takes the target into use again.
+func (p *prober) found() {
+	p.mu.Lock()
+	p.probing = time.Time{}
+	p.rep.SetDown(false)
+	p.mu.Unlock()
+	p.group.wake()
+}
+
+// Signs that a silent upstream may be dead.
+const (
+	silentLeast = 300 * time.Millisecond // a shorter silence is no sign
+	silentTimes = 8                      // nor is one of fewer typical latencies
+)
+
+// send sends a request to the target and learns from what comes of it.
+func (t *target) send(ctx context.Context, q *Request, st *stat) link.Reply {
+	begun := time.Now()
+	t.rep.Begin(begun)
+	re := t.pool.Do(ctx, q.Payload, q.Due, !q.Route.Repeatable)
+	now := time.Now()
+	t.rep.End(begun)
+	t.learn(now, now.Sub(begun), re, st)
+	t.group.wake()
+	return re
+}
+
+// learn takes in what came of a request.
+func (t *target) learn(now time.Time, took time.Duration, re link.Reply, st *stat) {
+	typical := st.typical()
+	if re.Cold > 0 {
+		t.rep.SetCold(now.Add(re.Cold))
+	}
+	switch re.Result {
+	case link.Whole:
+		took = max(took-t.far(), 0)
+		st.add(took)
+		t.rep.Took(now, took, typical)
+		t.rep.Good(now)
+	case link.Failed, link.Refused:
+		t.rep.Bad(now)
+	case link.Moved:
+		t.rep.SetMoved()
+	case link.Unsent:
+		if !errors.Is(re.Err, link.ErrBusy) && (!ended(re.Err) || took > silentLeast) {
+			t.fail()
+		}
+	case link.Unknown:
+		if ended(re.Err) && took <= max(silentLeast, silentTimes*typical) {
+			return
+		}
+		t.rep.Took(now, took, typical)
+		t.rep.Bad(now)
+		t.fail()
+	}
+}
+
+// ended reports whether an error is the end of the request's context.
+func ended(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,204 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Times of a pool's connections.
+const (
+	dialWait   = time.Second            // for a new connection; a lost opening packet comes again after a second
+	idleMost   = 8 * time.Second        // a connection idle for longer is closed
+	idleMargin = 500 * time.Millisecond // before the upstream closes an idle connection
+	aliveProbe = 2 * time.Second        // silence on a connection after which its other end is probed
+)
+
+// ErrBusy says that the upstream takes no further connection of this daemon.
+var ErrBusy = errors.New("all connections are in use")
+
+// A Pool keeps the connections to one upstream. It is safe for concurrent use.
+type Pool struct {
+	Address string
+	ID      string // identity of the upstream's process
+	Codec   *Codec
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+
+	mu     sync.Mutex
+	max    int // connections that may be open
+	open   int
+	idle   []*conn // the last used one is last
+	closed bool
+	round  time.Duration // least time that a connection took to open
+}
+
+// SetMax changes how many connections may be open; at least one may.
+func (p *Pool) SetMax(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.max = max(n, 1)
+}
+
+// Round returns the least time that opening a connection took, which is about
+// the round trip; 0 if none was opened yet.
+func (p *Pool) Round() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.round
+}
+
+// Free reports whether a request could be sent now.
+func (p *Pool) Free() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || p.open < p.max
+}
+
+// Do sends a request and returns what came of it. strict asks for a connection
+// that was in use a moment ago, or a new one, so that an idle connection which
+// the upstream drops does not leave the outcome unknown.
+func (p *Pool) Do(ctx context.Context, pl *Payload, due time.Time, strict bool) Reply {
+	c, err := p.get(ctx, strict)
+	if err != nil {
+		return Reply{Result: Unsent, Err: err}
+	}
+	re, again := c.exchange(ctx, p.Codec, pl, p.ID, time.Until(due))
+	p.put(c, again)
+	return re
+}
+
+// Probe opens a connection and keeps it, and reports whether that worked.
+func (p *Pool) Probe(ctx context.Context) error {
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	c, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c, true)
+	return nil
+}
+
+// get returns an idle connection or opens one.
+func (p *Pool) get(ctx context.Context, strict bool) (*conn, error) {
+	p.mu.Lock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.good(time.Now(), strict) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.drop(c)
+	}
+	if p.closed || p.open >= p.max {
+		p.mu.Unlock()
+		return nil, ErrBusy
+	}
+	p.open++
+	p.mu.Unlock()
+	return p.connect(ctx)
+}
+
+// strictIdle is the longest time that a connection was idle on which a request
+// is sent that can't be repeated.
+const strictIdle = 400 * time.Millisecond
+
+// good reports whether an idle connection may carry a request.
+func (c *conn) good(now time.Time, strict bool) bool {
+	idle := now.Sub(c.used)
+	if strict && idle > strictIdle && !c.fresh {
+		return false
+	}
+	return idle < c.most() && quiet(c.net)
+}
+
+// most returns how long the connection may stay idle.
+func (c *conn) most() time.Duration {
+	if c.keep > 0 {
+		return min(idleMost, max(c.keep-idleMargin, c.keep/2))
+	}
+	return idleMost
+}
+
+// connect opens a connection that is already counted.
+func (p *Pool) connect(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	begun := time.Now()
+	nc, err := p.Dial(ctx, p.Address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.open--
+		return nil, err
+	}
+	if took := time.Since(begun); p.round == 0 || took < p.round {
+		p.round = took
+	}
+	return &conn{net: nc, r: bufio.NewReaderSize(nc, 2<<10), used: time.Now(), fresh: true}, nil
+}
+
+// put takes a connection back.
+func (p *Pool) put(c *conn, again bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !again || p.closed || p.open > p.max {
+		p.drop(c)
+		return
+	}
+	c.used = time.Now()
+	c.fresh = false
+	p.idle = append(p.idle, c)
+}
+
+// drop closes a connection. The pool's mutex is held.
+func (p *Pool) drop(c *conn) {
+	p.open--
+	// The connection is given up, whatever its state.
+	_ = c.net.Close()
+}
+
+// Trim closes connections that were idle for too long, or that the upstream
+// has closed.
+func (p *Pool) Trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := p.idle[:0]
+	for _, c := range p.idle {
+		if c.good(now, false) {
+			keep = append(keep, c)
+			continue
+		}
+		p.drop(c)
+	}
+	p.idle = keep
+}
+
+// Close closes idle connections now, and the others when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		p.drop(c)
+	}
+	p.idle = nil
+}
+
+// Dialer opens connections whose dead peers are found out by the kernel.
+func Dialer() func(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     aliveProbe,
+		Interval: aliveProbe,
+		Count:    2,
+	}}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
--- /dev/null
+++ b/internal/pick/replica.go
@@ -0,0 +1,175 @@
+// Package pick chooses the replica that a request goes to. It judges replicas
+// by what their own answers show, not by what they say of themselves.
+package pick
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Constants of a replica's state.
+const (
+	slowGain  = 0.3                    // weight of the newest latency
+	slowHalf  = 700 * time.Millisecond // a slow replica's excess halves in this time without news
+	badGain   = 0.3                    // weight of the newest outcome
+	badHalf   = 1500 * time.Millisecond
+	slowNoise = 2.0 // latencies below so many typical ones are normal variation
+	coldTimes = 1.6 // a cold replica takes so many times as long
+	ageNoise  = 2.5 // an outstanding request older than so many is a sign of slowness
+)
+
+// A Replica is what a daemon knows of one upstream's condition. It is safe for
+// concurrent use.
+type Replica struct {
+	Slots int // requests that it works on at the same time; at least 1
+
+	mu     sync.Mutex
+	flight []time.Time // starts of the outstanding requests, oldest first
+	slow   float64     // recent latency over the typical one; 0 before the first
+	slowAt time.Time
+	bad    float64 // recent share of failures, from 0 to 1
+	badAt  time.Time
+	down   bool // it can't be reached
+	moved  bool // another process has its address
+	cold   time.Time
+}
+
+// Begin counts a request in.
+func (r *Replica) Begin(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flight = append(r.flight, now)
+}
+
+// End counts a request out that began at the given time.
+func (r *Replica) End(begun time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i := slices.Index(r.flight, begun); i >= 0 {
+		r.flight = slices.Delete(r.flight, i, i+1)
+	}
+}
+
+// Flight returns the number of outstanding requests.
+func (r *Replica) Flight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flight)
+}
+
+// Took takes in the latency of a request, without the way to the replica, and
+// the typical one of such requests.
+func (r *Replica) Took(now time.Time, took, typical time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := float64(took) / float64(max(typical, time.Millisecond))
+	if r.slow == 0 {
+		r.slow = x
+	} else {
+		r.slow = (1-slowGain)*r.slowNow(now) + slowGain*x
+	}
+	r.slowAt = now
+}
+
+// Good takes in that a request was answered.
+func (r *Replica) Good(now time.Time) {
+	r.outcome(now, 0)
+}
+
+// Bad takes in that a request failed, or was turned away.
+func (r *Replica) Bad(now time.Time) {
+	r.outcome(now, 1)
+}
+
+func (r *Replica) outcome(now time.Time, x float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bad = (1-badGain)*r.badNow(now) + badGain*x
+	r.badAt = now
+}
+
+// SetDown notes whether the replica can be reached.
+func (r *Replica) SetDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
+// SetMoved notes that another process has the replica's address. That is final.
+func (r *Replica) SetMoved() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.moved = true
+}
+
+// SetCold notes until when the replica is cold.
+func (r *Replica) SetCold(till time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold = till
+}
+
+// Cold reports whether the replica is cold.
+func (r *Replica) Cold(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.cold)
+}
+
+// Usable reports whether a request may be sent there at all.
+func (r *Replica) Usable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.down && !r.moved
+}
+
+// Suspect reports whether the replica has shown to be slow or failing lately.
+func (r *Replica) Suspect(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.slowNow(now) > slowNoise || r.badNow(now) > badGain/2
+}
+
+// Cost returns what a request is expected to take there, given the way to the
+// replica and what such requests typically take.
+func (r *Replica) Cost(now time.Time, far, typical time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	slow := r.slowNow(now)
+	if slow < slowNoise {
+		slow = 1
+	}
+	if len(r.flight) > 0 {
+		age := now.Sub(r.flight[0]) - far
+		if x := float64(age) / float64(max(typical, time.Millisecond)); x > ageNoise {
+			slow = max(slow, x)
+		}
+	}
+	full := float64(len(r.flight)) / float64(max(r.Slots, 1))
+	load := 1 + full*full
+	if now.Before(r.cold) {
+		load *= coldTimes
+	}
+	cost := float64(far) + float64(typical)*slow*load
+	// A failure costs another try elsewhere.
+	cost += r.badNow(now) * 4 * float64(far+2*typical)
+	return time.Duration(cost)
+}
+
+// slowNow is the slowness with its excess decayed since the last news.
+func (r *Replica) slowNow(now time.Time) float64 {
+	if r.slow <= 1 {
+		return r.slow
+	}
+	return 1 + (r.slow-1)*decay(now.Sub(r.slowAt), slowHalf)
+}
+
+func (r *Replica) badNow(now time.Time) float64 {
+	return r.bad * decay(now.Sub(r.badAt), badHalf)
+}
+
+func decay(d, half time.Duration) float64 {
+	return math.Exp2(-float64(max(d, 0)) / float64(half))
+}
--- /dev/null
+++ b/internal/tier/apply.go
@@ -0,0 +1,145 @@
+package tier
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/kern"
+	"bronzedoor.dev/bronzedoor/internal/pace"
+	"bronzedoor.dev/bronzedoor/internal/roster"
+	"bronzedoor.dev/bronzedoor/internal/route"
+)
+
+// applyRoutes takes in a routing table. The version never goes back.
+func (t *Tier) applyRoutes(changes []decoded[*route.Table]) {
+	for _, c := range changes {
+		old := t.table.Load()
+		if c.Gone || c.bad || c.value == nil || old != nil && c.value.Version < old.Version {
+			continue
+		}
+		t.table.Store(c.value)
+		t.Flow.Configure(c.value)
+		t.Log.Emit(event.TableTaken, event.Fields{
+			Step:   "routes",
+			Detail: fmt.Sprintf("version %d, revision %d, %d routes", c.value.Version, c.Revision, len(c.value.Routes)),
+		})
+	}
+}
+
+// applyRoster takes in registrations.
+func (t *Tier) applyRoster(changes []decoded[roster.Upstream]) {
+	var changed []roster.Upstream
+	var removed []string
+	for _, c := range changes {
+		if c.Gone || c.bad {
+			removed = append(removed, c.Name)
+			continue
+		}
+		changed = append(changed, c.value)
+	}
+	t.roster.Change(changed, removed, time.Now())
+	t.known.Store(true)
+	if len(changes) > 0 {
+		t.Log.Emit(event.RosterChanged, event.Fields{
+			Step:   "roster",
+			Detail: fmt.Sprintf("%d changed, %d removed, first %s at revision %d", len(changed), len(removed), changes[0].Name, changes[0].Revision),
+		})
+	}
+}
+
+// lapsed notes that registrations may be missing only because the store was away.
+func (t *Tier) lapsed() {
+	t.roster.Lapsed(time.Now())
+}
+
+// applyDomains takes in the failure domains that get no work.
+func (t *Tier) applyDomains(changes []decoded[string]) {
+	for _, c := range changes {
+		if c.Gone {
+			delete(t.out, c.Name)
+			continue
+		}
+		t.out[c.Name] = true
+	}
+	t.roster.Exclude(maps.Clone(t.out))
+	if len(changes) > 0 {
+		t.Log.Emit(event.RosterChanged, event.Fields{Step: "domains", Detail: fmt.Sprintf("out: %v", t.out)})
+	}
+}
+
+// applyMembers takes in the daemons of the fleet.
+func (t *Tier) applyMembers(changes []decoded[string]) {
+	for _, c := range changes {
+		if c.Gone {
+			delete(t.fleet, c.Name)
+			continue
+		}
+		t.fleet[c.Name] = true
+	}
+	t.members.Store(int64(len(t.fleet)))
+	t.Log.Emit(event.MembersKnown, event.Fields{Step: "members", Detail: fmt.Sprintf("%d daemons", len(t.fleet))})
+}
+
+// An expirer drops upstreams whose registration did not come back.
+type expirer struct {
+	tier   *Tier
+	duties kern.Duties
+}
+
+// Start starts the expirer.
+func (e *expirer) Start(ctx context.Context) error {
+	go e.loop(e.duties.Begin(ctx, 1))
+	return nil
+}
+
+// Stop ends the expirer.
+func (e *expirer) Stop(context.Context) error {
+	e.duties.End()
+	return nil
+}
+
+// expireEvery is the time between two looks for upstreams that are gone.
+const expireEvery = 200 * time.Millisecond
+
+func (e *expirer) loop(ctx context.Context) {
+	defer e.duties.Done()
+	for pace.Sleep(ctx, expireEvery) {
+		e.tier.roster.Expire(time.Now())
+	}
+}
+
+// A joiner records the daemon as a member of the fleet.
+type joiner struct {
+	tier   *Tier
+	duties kern.Duties
+}
+
+// Start starts the joiner.
+func (j *joiner) Start(ctx context.Context) error {
+	go j.loop(j.duties.Begin(ctx, 1))
+	return nil
+}
+
+// Stop ends the joiner.
+func (j *joiner) Stop(context.Context) error {
+	j.duties.End()
+	return nil
+}
+
+// joinRetry is the time between two tries to record the daemon.
+const joinRetry = 2 * time.Second
+
+func (j *joiner) loop(ctx context.Context) {
+	defer j.duties.Done()
+	for ctx.Err() == nil {
+		err := j.tier.Source.Join(ctx, j.tier.Settings.Name)
+		if err == nil {
+			return
+		}
+		j.tier.Log.Emit(event.MemberFailed, event.Fields{Step: "join", Err: err})
+		pace.Sleep(ctx, pace.Jitter(joinRetry))
+	}
+}
