mirror, feed: one daemon reads the store, the others copy from it

Knowledge carries its age; older than 2 s it is not relied on, and the next in the order reads the store. A cursor carries a digest, so that a change which the reader's watch missed reaches those who copy. A daemon that the store turns away asks any other.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,16 +1,19 @@
 // Package feed follows the objects of one kind in a metadata store: by watching
 // for changes, and by reading all of them now and then, as a watch can go
-// silent without an error.
+// silent without an error. Only a few daemons read the store; the others copy
+// what those know.
 package feed
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/pace"
@@ -19,11 +22,22 @@
 // ErrHistory says that changes since a revision can't be told any more.
 var ErrHistory = errors.New("the history since then is gone")
 
+// Stale is the age from which knowledge is no longer relied on: a daemon that
+// knows nothing newer asks others, or the store itself.
+const Stale = 2 * time.Second
+
 // Times of a topic.
 const (
-	WatchWait  = 10 * time.Second       // a watch waits so long for a change
+	watchWait  = 10 * time.Second       // a watch waits so long for a change
+	firstWait  = 500 * time.Millisecond // a starting daemon gives others so long to tell it
+	rankWait   = 150 * time.Millisecond // between two daemons that would read in place of a lost one
+	rankMost   = 10                     // ranks above wait no longer
+	look       = 50 * time.Millisecond  // resolution of the waits
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled up to retryMost
 	retryMost  = 800 * time.Millisecond // so that a store's return is noticed within a second
+	retryRest  = 4 * time.Second        // for daemons of which others read first
+	readers    = 3                      // daemons of a region that retry often
+	tombMost   = 4096                   // removed objects that are remembered
 )
 
 // An Object is one state of one object.
@@ -40,20 +54,34 @@
 	Revision uint64 // of the store when it was read
 }
 
+// A Copy is what another daemon knows.
+type Copy struct {
+	List
+	Whole bool          // Objects are all that there are
+	Age   time.Duration // since the daemon knew that this was all
+}
+
 // A Topic follows one kind. Set the exported fields, then Start.
 type Topic struct {
-	Name  string
-	Every time.Duration // between two reads of everything; above 0
-	Read  func(ctx context.Context) (List, error)
-	Watch func(ctx context.Context, since uint64, wait time.Duration) (List, error)
-	Apply func(changes []Object) // takes in what changed, one call at a time
-	Found func()                 // told when the store is back; may be nil
-	Log   *event.Log
+	Name    string
+	Every   time.Duration // between two reads of the store by a daemon that reads it
+	Read    func(ctx context.Context) (List, error)
+	Watch   func(ctx context.Context, since uint64, wait time.Duration) (List, error)
+	Rank    func() int             // daemons that read before this one does
+	Apply   func(changes []Object) // takes in what changed, one call at a time
+	Found   func()                 // told when knowledge is fresh again after a gap; may be nil
+	Changed func()                 // told when there is news for other daemons; may be nil
+	Log     *event.Log
 
 	mu     sync.Mutex
 	held   map[string]Object
-	rev    uint64 // complete up to here; 0 before the first read
-	failed time.Time
+	tombs  map[string]uint64 // revisions of removed objects
+	floor  uint64            // removals up to here may be forgotten
+	rev    uint64            // complete up to here; 0 before anything is known
+	digest uint64            // of the names and revisions held
+	asOf   time.Time         // when that was known to be all
+	leads  bool              // what is known comes from the store, not from another daemon
+	failed time.Time         // since when the store has not answered
 	duties kern.Duties
 }
 
@@ -61,7 +89,7 @@
 func (t *Topic) Start(ctx context.Context) error {
 	ctx = t.duties.Begin(ctx, 2)
 	go (&watcher{t}).loop(ctx)
-	go (&reader{t}).loop(ctx)
+	go (&reader{Topic: t, born: time.Now()}).loop(ctx)
 	return nil
 }
 
@@ -79,34 +107,75 @@
 	return t.rev
 }
 
-// Objects returns what the topic holds, by name.
-func (t *Topic) Objects() []Object {
+// Age returns the time since the topic was known to be complete.
+func (t *Topic) Age(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.asOf)
+}
+
+// A Cursor is how far a daemon knows a topic.
+type Cursor struct {
+	Since  uint64 // revision up to which it is complete; 0 for nothing
+	Digest uint64 // of all that it holds
+}
+
+// Cursor returns how far the topic is known.
+func (t *Topic) Cursor() Cursor {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Cursor{Since: t.rev, Digest: t.digest}
+}
+
+// Since returns what another daemon does not know, and whether there is
+// anything. A daemon that knows as much and still holds something else has
+// missed a change, and gets everything.
+func (t *Topic) Since(c Cursor, now time.Time) (Copy, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]Object, 0, len(t.held))
-	for _, name := range slices.Sorted(maps.Keys(t.held)) {
-		out = append(out, t.held[name])
+	out := Copy{List: List{Revision: t.rev}, Age: now.Sub(t.asOf)}
+	if t.rev == 0 || c.Since > t.rev || c.Digest == t.digest && c.Since > 0 {
+		return out, false
+	}
+	out.Whole = c.Since < t.floor || c.Since == t.rev
+	for _, o := range t.held {
+		if out.Whole || o.Revision > c.Since {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	if out.Whole {
+		return out, true
+	}
+	for name, rev := range t.tombs {
+		if rev > c.Since {
+			out.Objects = append(out.Objects, Object{Name: name, Revision: rev, Gone: true})
+		}
 	}
-	return out
+	return out, true
+}
+
+// leading reports whether the daemon reads the store for itself.
+func (t *Topic) leading() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leads
 }
 
-// A watcher waits for changes.
+// A watcher waits for changes in the store.
 type watcher struct {
 	*Topic
 }
 
-// loop watches until ctx ends.
+// loop watches while the daemon reads the store, until ctx ends.
 func (t *watcher) loop(ctx context.Context) {
 	defer t.duties.Done()
 	retry := retryFirst
 	for ctx.Err() == nil {
-		since := t.Revision()
-		if since == 0 {
-			// The reader brings the first revision.
+		if !t.leading() {
 			pace.Sleep(ctx, retryFirst)
 			continue
 		}
-		l, err := t.Watch(ctx, since, WatchWait)
+		l, err := t.Watch(ctx, t.Revision(), watchWait)
 		switch {
 		case err == nil:
 			t.change(l)
@@ -123,37 +192,69 @@
 	}
 }
 
-// A reader reads everything now and then.
+// A reader reads everything from the store when what is known is too old.
 type reader struct {
 	*Topic
+	born  time.Time
+	retry time.Duration
 }
 
 // loop reads until ctx ends.
 func (t *reader) loop(ctx context.Context) {
 	defer t.duties.Done()
-	retry := retryFirst
-	for ctx.Err() == nil {
-		if err := t.readAll(ctx); err != nil {
-			t.lost(ctx, err)
-			pace.Sleep(ctx, pace.Jitter(retry))
-			retry = min(2*retry, retryMost)
+	t.retry = retryFirst
+	for pace.Sleep(ctx, look) {
+		if !t.due(time.Now()) {
+			continue
+		}
+		err := t.readAll(ctx)
+		if err == nil {
+			t.retry = retryFirst
 			continue
 		}
-		retry = retryFirst
-		pace.Sleep(ctx, t.Every-t.Every/8+pace.Jitter(t.Every/8))
+		t.lost(ctx, err)
+		pace.Sleep(ctx, pace.Jitter(t.retry))
+		most := retryMost
+		if t.Rank() >= readers {
+			most = retryRest
+		}
+		t.retry = min(2*t.retry, most)
+	}
+}
+
+// due reports whether the store is to be read now.
+func (t *reader) due(now time.Time) bool {
+	rank := min(t.Rank(), rankMost)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.rev == 0:
+		return rank == 0 || now.Sub(t.born) > firstWait+time.Duration(rank)*rankWait
+	case rank == 0 || t.leads:
+		return now.Sub(t.asOf) >= t.Every
 	}
+	return now.Sub(t.asOf) >= Stale+time.Duration(rank)*rankWait
 }
 
 func (t *Topic) readAll(ctx context.Context) error {
+	begun := time.Now()
 	l, err := t.Read(ctx)
 	if err != nil {
 		return err
 	}
-	t.Replace(l)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leads = true
+	t.found()
+	if l.Revision < t.rev {
+		return nil
+	}
+	t.replace(l)
+	t.asOf = begun
 	return nil
 }
 
-// lost notes a failed call.
+// lost notes a failed call to the store.
 func (t *Topic) lost(ctx context.Context, err error) {
 	t.mu.Lock()
 	first := t.failed.IsZero()
@@ -179,14 +280,41 @@
 	}
 }
 
-// Replace takes in all objects. A list older than what is known is ignored.
-func (t *Topic) Replace(l List) {
+// change takes in some changes from the store.
+func (t *Topic) change(l List) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.found()
-	if l.Revision < t.rev {
+	t.apply(l.Objects, l.Revision)
+}
+
+// Merge takes in what another daemon knows. first says that this daemon reads
+// the store only when the other one's knowledge is too old.
+func (t *Topic) Merge(c Copy, first bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.Revision == 0 || c.Revision < t.rev {
 		return
 	}
+	if t.rev > 0 && now.Sub(t.asOf) > 2*Stale && c.Age < Stale && t.Found != nil {
+		t.Found()
+	}
+	if c.Whole {
+		t.replace(c.List)
+	} else {
+		t.apply(c.Objects, c.Revision)
+	}
+	if asOf := now.Add(-c.Age); asOf.After(t.asOf) {
+		t.asOf = asOf
+	}
+	if first && c.Age < Stale {
+		t.leads = false
+		t.failed = time.Time{}
+	}
+}
+
+// replace takes in all objects. The mutex is held.
+func (t *Topic) replace(l List) {
 	seen := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		seen[o.Name] = true
@@ -200,35 +328,60 @@
 	t.apply(changes, l.Revision)
 }
 
-// change takes in some changes.
-func (t *Topic) change(l List) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.found()
-	t.apply(l.Objects, l.Revision)
-}
-
 // apply takes in those changes that are news. The mutex is held.
 func (t *Topic) apply(changes []Object, rev uint64) {
 	if t.held == nil {
 		t.held = make(map[string]Object)
+		t.tombs = make(map[string]uint64)
 	}
 	var news []Object
 	for _, o := range changes {
 		h, known := t.held[o.Name]
 		switch {
-		case o.Revision < h.Revision, known && !o.Gone && o.Revision == h.Revision, o.Gone && !known:
+		case o.Revision < max(h.Revision, t.tombs[o.Name]):
+			continue
+		case o.Gone && !known, !o.Gone && known && o.Revision == h.Revision:
 			continue
 		case o.Gone:
 			delete(t.held, o.Name)
+			t.digest ^= mark(h)
+			t.bury(o)
 		default:
+			if known {
+				t.digest ^= mark(h)
+			}
+			t.digest ^= mark(o)
+			delete(t.tombs, o.Name)
 			t.held[o.Name] = o
 		}
 		news = append(news, o)
 	}
 	first := t.rev == 0
+	if first {
+		t.floor = rev
+	}
 	t.rev = max(t.rev, rev)
-	if len(news) > 0 || first {
-		t.Apply(news)
+	if len(news) == 0 && !first {
+		return
+	}
+	t.Apply(news)
+	if t.Changed != nil {
+		t.Changed()
+	}
+}
+
+// mark returns an object's part of a digest.
+func mark(o Object) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], o.Revision)
+	return xxhash.Sum64(append(b[:], o.Name...))
+}
+
+// bury remembers a removed object, so that other daemons can be told.
+func (t *Topic) bury(o Object) {
+	if len(t.tombs) >= tombMost {
+		t.floor = t.rev
+		clear(t.tombs)
 	}
+	t.tombs[o.Name] = o.Revision
 }
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,245 @@
+// Package mirror copies what daemons know of the metadata store from one to
+// another. In each region the first few daemons, in an order that all agree on,
+// read the store; the others hold a call to the first of them that answers and
+// is up to date. A daemon that the store turns away learns from any other.
+package mirror
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/feed"
+	"bronzedoor.dev/bronzedoor/internal/kern"
+	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
+	"bronzedoor.dev/bronzedoor/internal/pace"
+)
+
+// Times of the copying.
+const (
+	pullWait  = time.Second            // a call waits so long for a change
+	callWait  = 600 * time.Millisecond // for an answer beyond that
+	dialWait  = 300 * time.Millisecond // for a connection to another daemon
+	pause     = 100 * time.Millisecond // after a daemon that did not help
+	firstBack = 5 * time.Second        // after which the first daemon is asked again
+	freshMost = 1600 * time.Millisecond
+)
+
+// sources is the number of daemons of a region that the others ask in turn.
+const sources = 3
+
+// A Mirror gives out and takes in what topics hold. Set the exported fields,
+// then Start.
+type Mirror struct {
+	Fleet  *Fleet
+	Topics []*feed.Topic
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and made anew with each change
+	client  *http.Client
+	duties  kern.Duties
+}
+
+// Init makes the mirror ready to be told of changes.
+func (m *Mirror) Init() {
+	m.changed = make(chan struct{})
+	m.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialWait)
+			defer cancel()
+			return m.Dial(ctx, address)
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     firstBack,
+	}}
+}
+
+// Start starts copying.
+func (m *Mirror) Start(ctx context.Context) error {
+	ctx = m.duties.Begin(ctx, 2)
+	go (&follower{m}).loop(ctx)
+	go (&rescuer{m}).loop(ctx)
+	return nil
+}
+
+// Stop ends copying.
+func (m *Mirror) Stop(context.Context) error {
+	m.duties.End()
+	m.client.CloseIdleConnections()
+	return nil
+}
+
+// Wake tells waiting daemons that there is news.
+func (m *Mirror) Wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Mirror) next() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Handler serves other daemons.
+func (m *Mirror) Handler() http.Handler {
+	return rpc.NewMirrorServer(m)
+}
+
+// Changes returns what has changed in some topics. It waits for a change.
+func (m *Mirror) Changes(ctx context.Context, r *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
+	timer := time.NewTimer(min(time.Duration(r.GetWait())*time.Millisecond, pullWait))
+	defer timer.Stop()
+	for {
+		changed := m.next()
+		reply, news := m.collect(r.GetCursors())
+		if news {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			reply, _ = m.collect(r.GetCursors())
+			return reply, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// collect returns what has changed, and whether anything has.
+func (m *Mirror) collect(cursors []*rpc.Cursor) (*rpc.ChangesReply, bool) {
+	reply := &rpc.ChangesReply{}
+	news := false
+	now := time.Now()
+	for _, c := range cursors {
+		t := m.topic(c.GetTopic())
+		if t == nil {
+			continue
+		}
+		part, more := t.Since(feed.Cursor{Since: c.GetSince(), Digest: c.GetDigest()}, now)
+		news = news || more
+		reply.Copies = append(reply.Copies, encode(t.Name, part))
+	}
+	return reply, news
+}
+
+func (m *Mirror) topic(name string) *feed.Topic {
+	for _, t := range m.Topics {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// pull asks a daemon, and takes in what it says. It reports whether all of it
+// is up to date. first says that the daemon reads the store before this one.
+func (m *Mirror) pull(ctx context.Context, from Member, first bool) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullWait+callWait)
+	defer cancel()
+	r := &rpc.ChangesRequest{Wait: uint32(pullWait.Milliseconds())}
+	for _, t := range m.Topics {
+		c := t.Cursor()
+		r.Cursors = append(r.Cursors, &rpc.Cursor{Topic: t.Name, Since: c.Since, Digest: c.Digest})
+	}
+	if !first {
+		r.Wait = 0
+	}
+	reply, err := rpc.NewMirrorProtobufClient("http://"+from.Address, m.client).Changes(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	fresh := true
+	now := time.Now()
+	for _, part := range reply.GetCopies() {
+		c := decode(part)
+		fresh = fresh && c.Revision > 0 && c.Age < freshMost
+		if t := m.topic(part.GetTopic()); t != nil {
+			t.Merge(c, first, now)
+		}
+	}
+	return fresh, nil
+}
+
+func encode(topic string, c feed.Copy) *rpc.Copy {
+	out := &rpc.Copy{Topic: topic, Whole: c.Whole, Revision: c.Revision, Age: uint32(c.Age.Milliseconds())}
+	for _, o := range c.Objects {
+		out.Objects = append(out.Objects, &rpc.Object{Name: o.Name, Revision: o.Revision, Gone: o.Gone, Body: o.Body})
+	}
+	return out
+}
+
+func decode(c *rpc.Copy) feed.Copy {
+	out := feed.Copy{Whole: c.GetWhole(), Age: time.Duration(c.GetAge()) * time.Millisecond}
+	out.Revision = c.GetRevision()
+	for _, o := range c.GetObjects() {
+		out.Objects = append(out.Objects, feed.Object{Name: o.GetName(), Revision: o.GetRevision(), Gone: o.GetGone(), Body: o.GetBody()})
+	}
+	return out
+}
+
+// A follower copies from the daemons that read the store before this one.
+type follower struct {
+	*Mirror
+}
+
+// loop copies until ctx ends.
+func (f *follower) loop(ctx context.Context) {
+	defer f.duties.Done()
+	next := 0
+	moved := time.Now()
+	for ctx.Err() == nil {
+		before := f.Fleet.Before(sources)
+		if len(before) == 0 {
+			pace.Sleep(ctx, pause)
+			continue
+		}
+		if time.Since(moved) > firstBack {
+			next = 0
+			moved = time.Now()
+		}
+		fresh, err := f.pull(ctx, before[next%len(before)], true)
+		if err == nil && fresh {
+			continue
+		}
+		next++
+		moved = time.Now()
+		pace.Sleep(ctx, pace.Jitter(pause))
+	}
+}
+
+// A rescuer asks any daemon while this one's knowledge is too old.
+type rescuer struct {
+	*Mirror
+}
+
+// rescueAge is the age of its knowledge from which a daemon asks any other:
+// above feed.Stale, so that the store is read first where it can be.
+const rescueAge = feed.Stale + 500*time.Millisecond
+
+// loop looks until ctx ends.
+func (s *rescuer) loop(ctx context.Context) {
+	defer s.duties.Done()
+	for pace.Sleep(ctx, pace.Jitter(2*pause)) {
+		now := time.Now()
+		old := false
+		for _, t := range s.Topics {
+			old = old || t.Age(now) > rescueAge
+		}
+		if !old {
+			continue
+		}
+		if from, ok := s.Fleet.Other(); ok {
+			// A daemon that does not answer is one of many: the next look
+			// asks another one.
+			_, _ = s.pull(ctx, from, false)
+		}
+	}
+}
--- a/internal/tier/apply.go
+++ b/internal/tier/apply.go
@@ -8,6 +8,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/kern"
+	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/pace"
 	"bronzedoor.dev/bronzedoor/internal/roster"
 	"bronzedoor.dev/bronzedoor/internal/route"
@@ -71,16 +72,19 @@
 }
 
 // applyMembers takes in the daemons of the fleet.
-func (t *Tier) applyMembers(changes []decoded[string]) {
+func (t *Tier) applyMembers(changes []decoded[mirror.Member]) {
 	for _, c := range changes {
-		if c.Gone {
-			delete(t.fleet, c.Name)
+		if c.Gone || c.bad {
+			delete(t.members, c.Name)
 			continue
 		}
-		t.fleet[c.Name] = true
+		t.members[c.Name] = c.value
 	}
-	t.members.Store(int64(len(t.fleet)))
-	t.Log.Emit(event.MembersKnown, event.Fields{Step: "members", Detail: fmt.Sprintf("%d daemons", len(t.fleet))})
+	t.fleet.Set(maps.Clone(t.members))
+	t.Log.Emit(event.MembersKnown, event.Fields{
+		Step:   "members",
+		Detail: fmt.Sprintf("%d daemons, %d of the region read before", t.fleet.Size(), t.fleet.Rank()),
+	})
 }
 
 // An expirer drops upstreams whose registration did not come back.
@@ -135,7 +139,7 @@
 func (j *joiner) loop(ctx context.Context) {
 	defer j.duties.Done()
 	for ctx.Err() == nil {
-		err := j.tier.Source.Join(ctx, j.tier.Settings.Name)
+		err := j.tier.Source.Join(ctx, j.tier.fleet.Self)
 		if err == nil {
 			return
 		}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -18,6 +18,7 @@
 	"bronzedoor.dev/bronzedoor/internal/flow"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/link"
+	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/roster"
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
@@ -32,15 +33,20 @@
 	serviceCallers = "callers"
 	serviceReady   = "ready"
 	serviceMetrics = "metrics"
+	serviceJoin    = "join"
+	serviceExpire  = "expire"
+	servicePeers   = "peers"
+	serviceMirror  = "mirror"
 )
 
-// Times between two reads of everything. They bound how long a silent watch
-// keeps a daemon ignorant.
+// Times between two reads of everything, by a daemon that reads the store. They
+// bound how long a silent watch keeps the fleet ignorant, and are below
+// feed.Stale, so that those who copy stay up to date.
 const (
-	readRoster  = 1500 * time.Millisecond
-	readRoutes  = 2 * time.Second
-	readDomains = 2500 * time.Millisecond
-	readMembers = 10 * time.Second
+	readRoster  = time.Second
+	readRoutes  = 1300 * time.Millisecond
+	readDomains = 1500 * time.Millisecond
+	readMembers = 1500 * time.Millisecond
 )
 
 // Settings are what a daemon is told at its start.
@@ -48,9 +54,11 @@
 	Name    string // of this daemon, unique in the fleet
 	Domain  string // failure domain
 	Region  string
-	Callers string // address for callers: IP number and port
-	Ready   string // address that tells whether callers may come
-	Metrics string // address of the metrics; empty for none
+	Callers string   // address for callers: IP number and port
+	Ready   string   // address that tells whether callers may come
+	Peer    string   // address for other daemons
+	Seeds   []string // addresses of some daemons, for a start while the store is away
+	Metrics string   // address of the metrics; empty for none
 	Grace   time.Duration
 	Bounds  flow.Bounds
 }
@@ -60,9 +68,9 @@
 type Source struct {
 	Routes  Kind[*route.Table]
 	Roster  Kind[roster.Upstream]
-	Domains Kind[string] // failure domains that get no work
-	Members Kind[string] // daemons of the fleet
-	Join    func(ctx context.Context, name string) error
+	Domains Kind[string]        // failure domains that get no work
+	Members Kind[mirror.Member] // daemons of the fleet
+	Join    func(ctx context.Context, self mirror.Member) error
 }
 
 // A Kind is one kind of objects.
@@ -87,10 +95,11 @@
 	roster  *roster.Roster
 	table   atomic.Pointer[route.Table]
 	known   atomic.Bool // the roster has been read
-	members atomic.Int64
 	leaving atomic.Bool
 	out     map[string]bool // failure domains that get no work; used by one topic only
-	fleet   map[string]bool // members; used by one topic only
+	fleet   mirror.Fleet
+	members map[string]mirror.Member // by object name; used by one topic only
+	mirror  *mirror.Mirror
 	callers *server
 }
 
@@ -98,14 +107,22 @@
 func (t *Tier) Start(ctx context.Context) error {
 	registry := prometheus.NewRegistry()
 	t.out = make(map[string]bool)
-	t.fleet = make(map[string]bool)
+	t.members = make(map[string]mirror.Member)
+	t.fleet.Self = mirror.Member{Name: t.Settings.Name, Address: t.Settings.Peer, Region: t.Settings.Region}
+	for _, a := range t.Settings.Seeds {
+		if a != t.Settings.Peer {
+			t.fleet.Seeds = append(t.fleet.Seeds, mirror.Member{Address: a})
+		}
+	}
+	t.mirror = &mirror.Mirror{Fleet: &t.fleet, Dial: t.Dial}
+	t.mirror.Init()
 	t.roster = roster.New()
 	t.Flow = &flow.Flow{
 		Domain:  t.Settings.Domain,
 		Region:  t.Settings.Region,
 		Codec:   t.Codec,
 		Dial:    t.Dial,
-		Members: t.Members,
+		Members: t.fleet.Size,
 		Log:     t.Log,
 		Meter:   flow.NewMeter(registry),
 	}
@@ -121,28 +138,35 @@
 	return nil
 }
 
+// named is a service and its name.
+type named struct {
+	name    string
+	service kern.Service
+}
+
 func (t *Tier) register(registry *prometheus.Registry) error {
 	t.callers = &server{tier: t, address: t.Settings.Callers, handler: t.Handler, patience: startWait}
-	services := []struct {
-		name    string
-		service kern.Service
-	}{
-		{serviceFlow, t.Flow},
-		{serviceRoutes, follow(t, serviceRoutes, readRoutes, &t.Source.Routes, t.applyRoutes, nil)},
-		{serviceRoster, follow(t, serviceRoster, readRoster, &t.Source.Roster, t.applyRoster, t.lapsed)},
-		{serviceDomains, follow(t, serviceDomains, readDomains, &t.Source.Domains, t.applyDomains, nil)},
-		{serviceMembers, follow(t, serviceMembers, readMembers, &t.Source.Members, t.applyMembers, nil)},
-		{"join", &joiner{tier: t}},
-		{"expire", &expirer{tier: t}},
-		{serviceReady, &server{tier: t, address: t.Settings.Ready, handler: http.HandlerFunc(t.handleReady)}},
-		{serviceCallers, t.callers},
+	topics := []*feed.Topic{
+		follow(t, serviceMembers, readMembers, &t.Source.Members, t.applyMembers, nil),
+		follow(t, serviceRoutes, readRoutes, &t.Source.Routes, t.applyRoutes, nil),
+		follow(t, serviceRoster, readRoster, &t.Source.Roster, t.applyRoster, t.lapsed),
+		follow(t, serviceDomains, readDomains, &t.Source.Domains, t.applyDomains, nil),
 	}
+	t.mirror.Topics = topics
+	services := []named{{serviceFlow, t.Flow}, {serviceJoin, &joiner{tier: t}}}
+	for _, topic := range topics {
+		services = append(services, named{topic.Name, topic})
+	}
+	services = append(services,
+		named{servicePeers, &server{tier: t, address: t.Settings.Peer, handler: t.mirror.Handler()}},
+		named{serviceMirror, t.mirror},
+		named{serviceExpire, &expirer{tier: t}},
+		named{serviceReady, &server{tier: t, address: t.Settings.Ready, handler: http.HandlerFunc(t.handleReady)}},
+		named{serviceCallers, t.callers},
+	)
 	if t.Settings.Metrics != "" {
 		h := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
-		services = append(services, struct {
-			name    string
-			service kern.Service
-		}{serviceMetrics, &server{tier: t, address: t.Settings.Metrics, handler: h}})
+		services = append(services, named{serviceMetrics, &server{tier: t, address: t.Settings.Metrics, handler: h}})
 	}
 	for _, s := range services {
 		if err := t.kernel.Register(s.name, s.service); err != nil {
@@ -156,13 +180,15 @@
 func follow[T any](t *Tier, name string, every time.Duration, k *Kind[T], apply func([]decoded[T]), found func()) *feed.Topic {
 	d := &decoder[T]{tier: t, kind: k, apply: apply}
 	return &feed.Topic{
-		Name:  name,
-		Every: every,
-		Read:  k.Read,
-		Watch: k.Watch,
-		Apply: d.take,
-		Found: found,
-		Log:   t.Log,
+		Name:    name,
+		Every:   every,
+		Read:    k.Read,
+		Watch:   k.Watch,
+		Rank:    t.fleet.Rank,
+		Apply:   d.take,
+		Found:   found,
+		Changed: t.mirror.Wake,
+		Log:     t.Log,
 	}
 }
 
@@ -197,11 +223,6 @@
 	d.apply(out)
 }
 
-// Members returns how many daemons share the limits.
-func (t *Tier) Members() int {
-	return max(int(t.members.Load()), 1)
-}
-
 // Ready reports whether callers may come.
 func (t *Tier) Ready() bool {
 	return t.table.Load() != nil && t.known.Load() && !t.leaving.Load()
