pick, flow: fewer outstanding requests at a replica that turns requests away

Cause: shards with few good replicas got more than they bear; their queues shed, the retries ate the budget, and requests that waited till the objective failed. Change: a replica's limit of outstanding requests falls by 0.7 when it turns one away and grows with answers; a request that can't be in time any more waits behind those that can, and stops when its answer has left.

--- a/internal/flow/choose.go
+++ b/internal/flow/choose.go
@@ -44,7 +44,7 @@
 	return t.rep.Usable() &&
 		c.request.Route.Allows(t.up.Region) &&
 		!slices.Contains(c.avoid, t) &&
-		(c.waiting || t.pool.Free())
+		(c.waiting || t.pool.Free() && t.rep.Room())
 }
 
 // hope says what waiting for an upstream may bring.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -94,6 +94,7 @@
 	mu      sync.Mutex
 	targets []*target
 	changed chan struct{} // closed and made anew when a request ends or a target changes
+	fresh   int           // requests that wait and can still be in time
 }
 
 // Start makes the flow ready to serve.
@@ -247,6 +248,20 @@
 	return g.changed
 }
 
+// count counts a request that waits and can still be in time, in or out.
+func (g *group) count(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fresh += n
+}
+
+// crowded reports whether requests wait that can still be in time.
+func (g *group) crowded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fresh > 0
+}
+
 // update takes in the upstreams of the service.
 func (g *group) update(f *Flow, ups []*roster.Upstream, s route.Service, members int) {
 	g.mu.Lock()
--- a/internal/flow/gather.go
+++ b/internal/flow/gather.go
@@ -33,7 +33,7 @@
 // gather asks all shards of a route and merges their parts. The answer leaves
 // when all parts are in or those that are out can't come in time; a part is
 // waited for past the objective only while there are too few.
-func (f *Flow) gather(ctx context.Context, q *Request, tr *trace) Answer {
+func (f *Flow) gather(ctx context.Context, q *Request, tr *trace, done <-chan struct{}) Answer {
 	n := len(q.Route.Shards)
 	g := &gather{request: q, least: leastParts(n, q.Route.Least), open: n}
 	if reachable := f.reachable(q); reachable < g.least {
@@ -43,9 +43,10 @@
 	st := f.stat(q.Route.Name)
 	var aim time.Time
 	for i, service := range q.Route.Shards {
-		l := f.leg(q, st, tr, service, out)
+		l := f.leg(q, st, tr, service, out, done)
 		l.index = i
-		l.patient = l.aim
+		l.patient = l.aim.Add(-2 * st.typical())
+		l.stays = true
 		aim = l.aim
 		go l.run(ctx)
 	}
--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -17,7 +17,9 @@
 	trace   *trace
 	index   int // of the shard; 0 for a request that goes to one upstream
 	aim     time.Time
-	patient time.Time // until when a request waits to be sent
+	patient time.Time       // until when a request that waits to be sent can still be in time
+	stays   bool            // it waits for longer, behind those that can be in time
+	done    <-chan struct{} // closed when the request is answered
 	out     chan<- outcome
 
 	tried   []*target // upstreams that got the request and may have run it, or were not reached
@@ -26,6 +28,7 @@
 	flying  int       // requests without a result
 	replies chan sent
 	failure link.Reply // the last failure; the zero value if there was none
+	poor    bool       // the budget has held a request back
 }
 
 // A sent is the reply to one request that was sent.
@@ -43,14 +46,14 @@
 	why   string // why there is no success
 }
 
-// A try sends one request.
-type try struct {
+// An attempt sends one request.
+type attempt struct {
 	leg    *leg
 	target *target
 	extra  bool
 }
 
-func (t *try) run(ctx context.Context) {
+func (t *attempt) run(ctx context.Context) {
 	re := t.target.send(ctx, t.leg.request, t.leg.stat)
 	t.leg.replies <- sent{target: t.target, reply: re, extra: t.extra}
 }
@@ -100,35 +103,85 @@
 // first sends the first request, waiting for an upstream if that may help. It
 // returns why none was sent, or nothing.
 func (l *leg) first(ctx context.Context) string {
-	c := &choice{request: l.request, stat: l.stat}
+	fresh := false
+	defer func() {
+		if fresh {
+			l.group.count(-1)
+		}
+	}()
 	for {
 		changed := l.group.wait()
 		now := time.Now()
-		if t := l.flow.choose(l.group, c, now); t != nil && t.allowed(now) {
-			l.send(ctx, t, false)
+		late := now.After(l.patient)
+		if late && fresh {
+			fresh = false
+			l.group.count(-1)
+		}
+		if l.try(ctx, now, late) {
 			return ""
 		}
-		till := l.patient
-		switch l.flow.hope(l.group, c, now) {
-		case none:
-			return "no upstream"
-		case soon:
-			till = now.Add(probeHope)
-		case later:
+		wait, why := l.waitFor(now, late)
+		if wait <= 0 {
+			return why
 		}
-		timer := time.NewTimer(till.Sub(now))
-		select {
-		case <-changed:
-			timer.Stop()
-		case <-timer.C:
-			return "busy"
-		case <-ctx.Done():
-			timer.Stop()
+		if !late && !fresh {
+			fresh = true
+			l.group.count(1)
+		}
+		if !l.sleep(ctx, changed, wait) {
 			return "deadline"
 		}
 	}
 }
 
+// try sends the request if an upstream can take it. Late requests let those
+// go first that can still be in time.
+func (l *leg) try(ctx context.Context, now time.Time, late bool) bool {
+	if late && l.group.crowded() {
+		return false
+	}
+	t := l.flow.choose(l.group, &choice{request: l.request, stat: l.stat}, now)
+	if t == nil || !t.allowed(now) {
+		return false
+	}
+	l.send(ctx, t, false)
+	return true
+}
+
+// lateLook is the time between two looks of a request that is late.
+const lateLook = 20 * time.Millisecond
+
+// waitFor returns how long to wait for an upstream: not at all if that can't
+// help, and then why.
+func (l *leg) waitFor(now time.Time, late bool) (time.Duration, string) {
+	switch l.flow.hope(l.group, &choice{request: l.request, stat: l.stat}, now) {
+	case none:
+		return 0, "no upstream"
+	case soon:
+		return probeHope, ""
+	case later:
+	}
+	if late && l.stays {
+		return lateLook, ""
+	}
+	return l.patient.Sub(now), "busy"
+}
+
+// sleep waits for a change, and reports false when the request is over.
+func (l *leg) sleep(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-l.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // allowed counts a request to a cold upstream, and reports whether it may go.
 func (t *target) allowed(now time.Time) bool {
 	return !t.rep.Cold(now) || t.cold.Take(now)
@@ -140,7 +193,7 @@
 	l.runs++
 	l.sends++
 	l.flying++
-	go (&try{leg: l, target: t, extra: extra}).run(ctx)
+	go (&attempt{leg: l, target: t, extra: extra}).run(ctx)
 }
 
 // take takes in a reply, and reports whether it ends the leg.
@@ -194,7 +247,10 @@
 	}
 	free = free && l.sends == 0
 	if !free && !l.group.extra.Take(now) {
-		l.trace.note(l.index, "budget")
+		if !l.poor {
+			l.trace.note(l.index, "budget")
+		}
+		l.poor = true
 		return false
 	}
 	l.send(ctx, t, !free)
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -22,11 +22,13 @@
 	work, cancel := context.WithDeadline(f.base, q.Due)
 	stop := context.AfterFunc(ctx, cancel)
 	tr := &trace{begun: q.Arrived}
+	done := make(chan struct{})
+	defer close(done)
 	var a Answer
 	if q.Route.Gathers() {
-		a = f.gather(work, q, tr)
+		a = f.gather(work, q, tr, done)
 	} else {
-		a = f.forward(work, q, tr)
+		a = f.forward(work, q, tr, done)
 	}
 	if stop() {
 		// A replica that is nearly done keeps its connection.
@@ -47,7 +49,7 @@
 }
 
 // leg returns a leg of a request.
-func (f *Flow) leg(q *Request, st *stat, tr *trace, service string, out chan<- outcome) *leg {
+func (f *Flow) leg(q *Request, st *stat, tr *trace, service string, out chan<- outcome, done <-chan struct{}) *leg {
 	target := q.Route.Target
 	if target <= 0 {
 		target = aimFirst
@@ -61,13 +63,14 @@
 		aim:     q.Arrived.Add(time.Duration(aimShare * float64(target))),
 		patient: q.Arrived.Add(time.Duration(sendShare * float64(target))),
 		out:     out,
+		done:    done,
 	}
 }
 
 // forward sends a request to one service and passes the answer on.
-func (f *Flow) forward(ctx context.Context, q *Request, tr *trace) Answer {
+func (f *Flow) forward(ctx context.Context, q *Request, tr *trace, done <-chan struct{}) Answer {
 	out := make(chan outcome, 1)
-	l := f.leg(q, f.stat(q.Route.Name), tr, f.split.Next(q.Table, q.Route), out)
+	l := f.leg(q, f.stat(q.Route.Name), tr, f.split.Next(q.Table, q.Route), out, done)
 	l.run(ctx)
 	o := <-out
 	switch re := o.reply; re.Result {
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -153,8 +153,11 @@
 		st.add(took)
 		t.rep.Took(now, took, typical)
 		t.rep.Good(now)
-	case link.Failed, link.Refused:
+	case link.Failed:
 		t.rep.Bad(now)
+	case link.Refused:
+		t.rep.Bad(now)
+		t.rep.Shed(now)
 	case link.Moved:
 		t.rep.SetMoved()
 	case link.Unsent:
--- a/internal/pick/replica.go
+++ b/internal/pick/replica.go
@@ -16,8 +16,12 @@
 	badGain   = 0.3                    // weight of the newest outcome
 	badHalf   = 1500 * time.Millisecond
 	slowNoise = 2.0 // latencies below so many typical ones are normal variation
-	coldTimes = 1.6 // a cold replica takes so many times as long
-	ageNoise  = 2.5 // an outstanding request older than so many is a sign of slowness
+	fullTimes = 3.0 // an answer that took so many typical latencies has queued
+	limitCut  = 0.7 // of the limit is left when requests queue or are turned away
+	limitMost = 64
+	cutEvery  = 50 * time.Millisecond // between two cuts of the limit, at least
+	coldTimes = 1.6                   // a cold replica takes so many times as long
+	ageNoise  = 2.5                   // an outstanding request older than so many is a sign of slowness
 )
 
 // A Replica is what a daemon knows of one upstream's condition. It is safe for
@@ -34,6 +38,8 @@
 	down   bool // it can't be reached
 	moved  bool // another process has its address
 	cold   time.Time
+	limit  float64   // requests that may be outstanding; 0 before the first answer
+	cutAt  time.Time // when limit was last lowered
 }
 
 // Begin counts a request in.
@@ -71,6 +77,40 @@
 		r.slow = (1-slowGain)*r.slowNow(now) + slowGain*x
 	}
 	r.slowAt = now
+	if limit := r.limitNow(); float64(len(r.flight)+1) >= limit {
+		r.limit = min(limit+1/limit, limitMost)
+	}
+}
+
+// Shed takes in that the replica turned a request away.
+func (r *Replica) Shed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut(now, 0)
+}
+
+// cut lowers the limit, once for all answers to requests of the same time.
+func (r *Replica) cut(now time.Time, took time.Duration) {
+	if now.Sub(r.cutAt) < max(took, cutEvery) {
+		return
+	}
+	r.limit = max(limitCut*r.limitNow(), 2)
+	r.cutAt = now
+}
+
+func (r *Replica) limitNow() float64 {
+	if r.limit == 0 {
+		return float64(max(r.Slots, 2))
+	}
+	return r.limit
+}
+
+// Room reports whether another request may be outstanding: more than the
+// replica works off in good time would only queue there.
+func (r *Replica) Room() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.flight) < int(r.limitNow())
 }
 
 // Good takes in that a request was answered.
