pick: the price of a failure is the whole answer

Cause: replicas that turned 6 of 10 requests away were still chosen for being near: a failure was priced as another try, but the budget for those is soon empty.

--- a/internal/pick/replica.go
+++ b/internal/pick/replica.go
@@ -11,10 +11,13 @@
 
 // Constants of a replica's state.
 const (
-	slowGain  = 0.3                    // weight of the newest latency
-	slowHalf  = 700 * time.Millisecond // a slow replica's excess halves in this time without news
-	badGain   = 0.3                    // weight of the newest outcome
-	badHalf   = 1500 * time.Millisecond
+	slowGain = 0.3                    // weight of the newest latency
+	slowHalf = 700 * time.Millisecond // a slow replica's excess halves in this time without news
+	badGain  = 0.3                    // weight of the newest outcome
+	badHalf  = 1500 * time.Millisecond
+	// failCost is what a failed request costs: another try elsewhere while the
+	// budget allows one, and the whole answer when it doesn't.
+	failCost  = 200 * time.Millisecond
 	slowNoise = 2.0 // latencies below so many typical ones are normal variation
 	fullTimes = 3.0 // an answer that took so many typical latencies has queued
 	limitCut  = 0.7 // of the limit is left when requests queue or are turned away
@@ -193,8 +196,7 @@
 		load *= coldTimes
 	}
 	cost := float64(far) + float64(typical)*slow*load
-	// A failure costs another try elsewhere.
-	cost += r.badNow(now) * 4 * float64(far+2*typical)
+	cost += r.badNow(now) * float64(failCost)
 	return time.Duration(cost)
 }
 
