flow, pick, link: one waiting request a turn, counted in when chosen; room for a return

Now a line wakes one at a time. Cause 2: two requests could choose the last free place; the second came back unsent and lost its answer's part. Now a request is counted in when its upstream is chosen. Cause 3: requests on their way hold no slot, so a far replica bears more of them. Cause 4: upstreams count the connections of lost machines for a while. A fleet that held its full share found no room after its restart: hundreds of new connections were reset. Spare connections are now closed after 1.5 s, few are opened at once, and an upstream that breaks a new one off gets no further ones for half a second. Shared limits go by failure domain first, then by daemon.

--- a/internal/flow/choose.go
+++ b/internal/flow/choose.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,40 +12,71 @@
 	request *Request
 	stat    *stat
 	avoid   []*target // those that were tried
-	waiting bool      // an upstream without a free connection will do
 }
 
 // near is the factor by which an upstream outside the region counts as farther
 // away than it is: bytes between regions are dear.
 const near = 1.25
 
-// choose returns the upstream with the least expected latency, or nil.
+// busyTimes is how much longer than its own latency a request may take that
+// waits for a busy upstream.
+const busyTimes = 1.5
+
+// choose returns the upstream with the least expected latency, with the request
+// counted in at the time now, or nil.
 func (f *Flow) choose(g *group, c *choice, now time.Time) *target {
+	for {
+		t := f.best(g, c, now)
+		if t == nil {
+			return nil
+		}
+		if t.rep.Begin(now, t.pool.Room()) {
+			return t
+		}
+	}
+}
+
+// best returns the upstream with the least expected latency, or nil. One that
+// is worse than waiting for a busy one is not returned.
+func (f *Flow) best(g *group, c *choice, now time.Time) *target {
 	var best *target
-	var least float64
+	least, busy := math.Inf(1), math.Inf(1)
 	for _, t := range g.list() {
-		if !f.fits(t, c, now) {
+		if !f.usable(t, c) {
 			continue
 		}
-		cost := float64(t.rep.Cost(now, t.far(), c.stat.typical()))
-		if t.up.Region != f.Region {
-			cost += (near - 1) * float64(t.far())
-		}
-		// Equals share the load.
-		cost *= 1 + 0.1*rand.Float64()
-		if best == nil || cost < least {
+		cost := f.cost(t, c, now)
+		switch {
+		case !f.free(t):
+			busy = min(busy, cost)
+		case cost < least:
 			best, least = t, cost
 		}
 	}
+	if busyTimes*busy < least {
+		return nil
+	}
 	return best
 }
 
-// fits reports whether the request may be sent to the upstream now.
-func (f *Flow) fits(t *target, c *choice, _ time.Time) bool {
-	return t.rep.Usable() &&
-		c.request.Route.Allows(t.up.Region) &&
-		!slices.Contains(c.avoid, t) &&
-		(c.waiting || t.pool.Free() && t.rep.Room())
+// cost returns what a request is expected to take at an upstream, in ns.
+func (f *Flow) cost(t *target, c *choice, now time.Time) float64 {
+	cost := float64(t.rep.Cost(now, t.far(), c.stat.typical()))
+	if t.up.Region != f.Region {
+		cost += (near - 1) * float64(t.far())
+	}
+	// Equals share the load.
+	return cost * (1 + 0.1*rand.Float64())
+}
+
+// usable reports whether the request may be sent to the upstream, if not now.
+func (f *Flow) usable(t *target, c *choice) bool {
+	return t.rep.Usable() && c.request.Route.Allows(t.up.Region) && !slices.Contains(c.avoid, t)
+}
+
+// free reports whether a request can be sent to the upstream now.
+func (f *Flow) free(t *target) bool {
+	return t.rep.Free(t.pool.Room())
 }
 
 // hope says what waiting for an upstream may bring.
@@ -62,10 +94,8 @@
 // hope returns what waiting may bring when choose found nothing.
 func (f *Flow) hope(g *group, c *choice, now time.Time) hope {
 	best := none
-	busy := *c
-	busy.waiting = true
 	for _, t := range g.list() {
-		if f.fits(t, &busy, now) {
+		if f.usable(t, c) {
 			return later
 		}
 		d := t.probed(now)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -68,13 +68,13 @@
 
 // A Flow serves requests. Set the exported fields, then Start.
 type Flow struct {
-	Domain  string // failure domain of this daemon
-	Region  string
-	Codec   *link.Codec
-	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Members func() int // daemons that share the limits; at least 1
-	Log     *event.Log
-	Meter   *Meter // may be nil
+	Domain string // failure domain of this daemon
+	Region string
+	Codec  *link.Codec
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Share  func() float64 // this daemon's part of the limits that all share, from 0 to 1
+	Log    *event.Log
+	Meter  *Meter // may be nil
 
 	mu     sync.Mutex
 	bounds Bounds
@@ -93,8 +93,7 @@
 
 	mu      sync.Mutex
 	targets []*target
-	changed chan struct{} // closed and made anew when a request ends or a target changes
-	fresh   int           // requests that wait and can still be in time
+	line    line
 }
 
 // Start makes the flow ready to serve.
@@ -130,11 +129,11 @@
 
 func (f *Flow) tidy() {
 	now := time.Now()
-	members := f.Members()
+	share := f.Share()
 	for _, g := range f.all() {
-		g.share(f.limits(), members)
+		g.share(f.limits(), share)
 		for _, t := range g.list() {
-			t.share(f.service(g.name), members)
+			t.share(f.service(g.name), share)
 			t.pool.Trim(now)
 		}
 	}
@@ -180,14 +179,14 @@
 
 // Update takes in a new view of the upstreams.
 func (f *Flow) Update(v *roster.View) {
-	members := f.Members()
+	share := f.Share()
 	for name, ups := range v.Services {
 		g := f.group(name)
-		g.update(f, ups, f.service(name), members)
+		g.update(f, ups, f.service(name), share)
 	}
 	for _, g := range f.all() {
 		if len(v.Services[g.name]) == 0 {
-			g.update(f, nil, route.Service{}, members)
+			g.update(f, nil, route.Service{}, share)
 		}
 	}
 }
@@ -201,9 +200,9 @@
 	}
 	g := f.groups[name]
 	if g == nil {
-		g = &group{name: name, changed: make(chan struct{})}
+		g = &group{name: name}
 		f.groups[name] = g
-		g.share(f.bounds, f.Members())
+		g.share(f.bounds, f.Share())
 	}
 	return g
 }
@@ -223,8 +222,8 @@
 const spare = 0.85
 
 // share sets this daemon's part of the service's extra requests.
-func (g *group) share(b Bounds, members int) {
-	g.extra.Set(spare*b.Ratio, spare*b.Slack/float64(max(members, 1)), b.Window)
+func (g *group) share(b Bounds, share float64) {
+	g.extra.Set(spare*b.Ratio, spare*b.Slack*share, b.Window)
 }
 
 func (g *group) list() []*target {
@@ -233,37 +232,8 @@
 	return g.targets
 }
 
-// wake lets those look again that wait for a replica.
-func (g *group) wake() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	close(g.changed)
-	g.changed = make(chan struct{})
-}
-
-// wait returns a channel that is closed at the next change.
-func (g *group) wait() <-chan struct{} {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.changed
-}
-
-// count counts a request that waits and can still be in time, in or out.
-func (g *group) count(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.fresh += n
-}
-
-// crowded reports whether requests wait that can still be in time.
-func (g *group) crowded() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.fresh > 0
-}
-
 // update takes in the upstreams of the service.
-func (g *group) update(f *Flow, ups []*roster.Upstream, s route.Service, members int) {
+func (g *group) update(f *Flow, ups []*roster.Upstream, s route.Service, share float64) {
 	g.mu.Lock()
 	next := make([]*target, 0, len(ups))
 	for _, u := range ups {
@@ -272,7 +242,7 @@
 			t = newTarget(f, g, u)
 		}
 		t.rep.SetCold(u.ColdTill)
-		t.share(s, members)
+		t.share(s, share)
 		next = append(next, t)
 	}
 	var gone []*target
@@ -286,7 +256,7 @@
 	for _, t := range gone {
 		t.close()
 	}
-	g.wake()
+	g.line.wakeAll()
 }
 
 // find returns the target of an upstream. One that started anew under its old
--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -50,11 +50,12 @@
 type attempt struct {
 	leg    *leg
 	target *target
+	begun  time.Time
 	extra  bool
 }
 
 func (t *attempt) run(ctx context.Context) {
-	re := t.target.send(ctx, t.leg.request, t.leg.stat)
+	re := t.target.send(ctx, t.leg.request, t.leg.stat, t.begun)
 	t.leg.replies <- sent{target: t.target, reply: re, extra: t.extra}
 }
 
@@ -82,14 +83,31 @@
 			if l.take(s) {
 				return l.end(s.reply, "")
 			}
+			if l.flying == 0 && l.sends == 0 {
+				// Nothing has left: the connection was taken by another
+				// request, or could not be opened.
+				l.tried = nil
+				if why := l.first(ctx); why != "" {
+					return l.end(link.Reply{Result: link.Unsent}, why)
+				}
+				continue
+			}
 			if l.again(ctx, s) || l.flying > 0 {
 				continue
 			}
-			return l.end(l.failure, l.failure.Result.String())
+			if !l.waits(s) {
+				return l.end(l.failure, l.failure.Result.String())
+			}
+			hedge.Reset(hedgeLook)
 		case <-hedge.C:
-			if l.request.Route.Repeatable {
+			if l.flying == 0 && time.Now().After(l.patient) {
+				return l.end(l.failure, l.failure.Result.String())
+			}
+			if l.request.Route.Repeatable || l.flying == 0 {
 				hedge.Reset(l.hedge(ctx))
 			}
+		case <-l.done:
+			return l.end(l.failure, "answered")
 		case <-ctx.Done():
 			return l.end(link.Reply{Result: link.Unknown, Err: ctx.Err()}, "deadline")
 		}
@@ -103,53 +121,50 @@
 // first sends the first request, waiting for an upstream if that may help. It
 // returns why none was sent, or nothing.
 func (l *leg) first(ctx context.Context) string {
-	fresh := false
-	defer func() {
-		if fresh {
-			l.group.count(-1)
-		}
-	}()
+	if now := time.Now(); !l.group.line.crowded() && l.try(ctx, now) {
+		return ""
+	}
 	for {
-		changed := l.group.wait()
+		late := time.Now().After(l.patient)
+		w := l.group.line.join(late)
 		now := time.Now()
-		late := now.After(l.patient)
-		if late && fresh {
-			fresh = false
-			l.group.count(-1)
-		}
-		if l.try(ctx, now, late) {
+		if (!late || !l.group.line.crowded()) && l.try(ctx, now) {
+			l.group.line.leave(w, true)
 			return ""
 		}
 		wait, why := l.waitFor(now, late)
 		if wait <= 0 {
+			l.group.line.leave(w, false)
 			return why
 		}
-		if !late && !fresh {
-			fresh = true
-			l.group.count(1)
-		}
-		if !l.sleep(ctx, changed, wait) {
+		woken, over := l.sleep(ctx, w, wait)
+		sent := woken && l.try(ctx, time.Now())
+		l.group.line.leave(w, sent)
+		switch {
+		case sent:
+			return ""
+		case over:
 			return "deadline"
 		}
 	}
 }
 
-// try sends the request if an upstream can take it. Late requests let those
-// go first that can still be in time.
-func (l *leg) try(ctx context.Context, now time.Time, late bool) bool {
-	if late && l.group.crowded() {
+// try sends the request if an upstream can take it.
+func (l *leg) try(ctx context.Context, now time.Time) bool {
+	t := l.flow.choose(l.group, &choice{request: l.request, stat: l.stat}, now)
+	if t == nil {
 		return false
 	}
-	t := l.flow.choose(l.group, &choice{request: l.request, stat: l.stat}, now)
-	if t == nil || !t.allowed(now) {
+	if !t.allowed(now) {
+		t.rep.End(now)
 		return false
 	}
-	l.send(ctx, t, false)
+	l.send(ctx, t, now, false)
 	return true
 }
 
-// lateLook is the time between two looks of a request that is late.
-const lateLook = 20 * time.Millisecond
+// lateLook is the time after which a late request looks without being woken.
+const lateLook = 200 * time.Millisecond
 
 // waitFor returns how long to wait for an upstream: not at all if that can't
 // help, and then why.
@@ -167,19 +182,20 @@
 	return l.patient.Sub(now), "busy"
 }
 
-// sleep waits for a change, and reports false when the request is over.
-func (l *leg) sleep(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+// sleep waits for a turn, and reports whether it came and whether the request
+// is over.
+func (l *leg) sleep(ctx context.Context, w *waiter, wait time.Duration) (woken, over bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
-	case <-changed:
+	case <-w.ready:
+		return true, false
 	case <-timer.C:
+		return false, false
 	case <-l.done:
-		return false
 	case <-ctx.Done():
-		return false
 	}
-	return true
+	return false, true
 }
 
 // allowed counts a request to a cold upstream, and reports whether it may go.
@@ -187,13 +203,13 @@
 	return !t.rep.Cold(now) || t.cold.Take(now)
 }
 
-// send sends the request to an upstream.
-func (l *leg) send(ctx context.Context, t *target, extra bool) {
+// send sends the request to an upstream that has counted it in.
+func (l *leg) send(ctx context.Context, t *target, begun time.Time, extra bool) {
 	l.tried = append(l.tried, t)
 	l.runs++
 	l.sends++
 	l.flying++
-	go (&attempt{leg: l, target: t, extra: extra}).run(ctx)
+	go (&attempt{leg: l, target: t, begun: begun, extra: extra}).run(ctx)
 }
 
 // take takes in a reply, and reports whether it ends the leg.
@@ -233,6 +249,18 @@
 	return l.extra(ctx, s.reply.Result == link.Unsent)
 }
 
+// waits reports whether the leg waits for the budget or an upstream after a
+// reply that another one may make good.
+func (l *leg) waits(s sent) bool {
+	ran := s.reply.Result == link.Failed || s.reply.Result == link.Unknown
+	if ran && !l.request.Route.Repeatable || l.runs >= l.request.Route.Attempts || l.sends >= mostSends {
+		return false
+	}
+	c := &choice{request: l.request, stat: l.stat, avoid: l.tried}
+	now := time.Now()
+	return now.Before(l.patient) && l.flow.hope(l.group, c, now) != none
+}
+
 // extra sends one more request if the limits allow it. One in place of a
 // request that was never sent is not an extra one.
 func (l *leg) extra(ctx context.Context, free bool) bool {
@@ -242,18 +270,19 @@
 	now := time.Now()
 	c := &choice{request: l.request, stat: l.stat, avoid: l.tried}
 	t := l.flow.choose(l.group, c, now)
-	if t == nil || !t.allowed(now) {
+	if t == nil {
 		return false
 	}
 	free = free && l.sends == 0
-	if !free && !l.group.extra.Take(now) {
+	if !t.allowed(now) || !free && !l.group.extra.Take(now) {
+		t.rep.End(now)
 		if !l.poor {
 			l.trace.note(l.index, "budget")
 		}
 		l.poor = true
 		return false
 	}
-	l.send(ctx, t, !free)
+	l.send(ctx, t, now, !free)
 	return true
 }
 
@@ -265,10 +294,10 @@
 
 // hedge sends a second request, and returns when to look again.
 func (l *leg) hedge(ctx context.Context) time.Duration {
-	if l.runs >= l.request.Route.Attempts || l.flying == 0 {
+	if l.runs >= l.request.Route.Attempts {
 		return hedgeDone
 	}
-	if l.extra(ctx, false) {
+	if l.extra(ctx, l.failure.Result == link.Unsent && l.sends == 0) {
 		return hedgeDone
 	}
 	return hedgeLook
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -37,17 +37,16 @@
 }
 
 // share sets this daemon's part of the upstream's limits.
-func (t *target) share(s route.Service, members int) {
-	n := max(members, 1)
+func (t *target) share(s route.Service, share float64) {
 	if s.Conns > 0 {
-		t.pool.SetMax(s.Conns / n)
+		t.pool.SetMax(int(float64(s.Conns) * share))
 	} else {
-		t.pool.SetMax(max(t.up.Slots, 1))
+		t.pool.SetMax(t.up.Slots)
 	}
 	b := t.flow.limits()
 	allowed := -1.0
 	if s.ColdRate > 0 {
-		allowed = spare * (s.ColdRate*b.ColdTimes + b.ColdSlack) / float64(n)
+		allowed = spare * (s.ColdRate*b.ColdTimes + b.ColdSlack) * share
 	}
 	t.cold.Set(allowed)
 }
@@ -120,7 +119,7 @@
 	p.probing = time.Time{}
 	p.rep.SetDown(false)
 	p.mu.Unlock()
-	p.group.wake()
+	p.group.line.wakeAll()
 }
 
 // Signs that a silent upstream may be dead.
@@ -129,15 +128,14 @@
 	silentTimes = 8                      // nor is one of fewer typical latencies
 )
 
-// send sends a request to the target and learns from what comes of it.
-func (t *target) send(ctx context.Context, q *Request, st *stat) link.Reply {
-	begun := time.Now()
-	t.rep.Begin(begun)
+// send sends a request to the target, which was counted in at the time begun,
+// and learns from what comes of it.
+func (t *target) send(ctx context.Context, q *Request, st *stat, begun time.Time) link.Reply {
 	re := t.pool.Do(ctx, q.Payload, q.Due, !q.Route.Repeatable)
 	now := time.Now()
 	t.rep.End(begun)
 	t.learn(now, now.Sub(begun), re, st)
-	t.group.wake()
+	t.group.line.wake()
 	return re
 }
 
@@ -151,7 +149,7 @@
 	case link.Whole:
 		took = max(took-t.far(), 0)
 		st.add(took)
-		t.rep.Took(now, took, typical)
+		t.rep.Took(now, took, typical, t.far())
 		t.rep.Good(now)
 	case link.Failed:
 		t.rep.Bad(now)
@@ -168,8 +166,12 @@
 		if ended(re.Err) && took <= max(silentLeast, silentTimes*typical) {
 			return
 		}
-		t.rep.Took(now, took, typical)
 		t.rep.Bad(now)
+		if re.Over {
+			// The pool keeps to the connections that it has.
+			return
+		}
+		t.rep.Took(now, took, typical, t.far())
 		t.fail()
 	}
 }
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -50,6 +50,7 @@
 	Body   []byte        // whole
 	Proof  string        // the upstream's proof of its answer; may be empty
 	Cold   time.Duration // how much longer the upstream says it is cold; 0 if it doesn't
+	Over   bool          // a new connection was broken off: the upstream has too many
 	Err    error         // why there is no answer
 }
 
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -11,10 +11,12 @@
 
 // Times of a pool's connections.
 const (
-	dialWait   = time.Second            // for a new connection; a lost opening packet comes again after a second
-	idleMost   = 8 * time.Second        // a connection idle for longer is closed
-	idleMargin = 500 * time.Millisecond // before the upstream closes an idle connection
-	aliveProbe = 2 * time.Second        // silence on a connection after which its other end is probed
+	dialWait   = time.Second             // for a new connection; a lost opening packet comes again after a second
+	idleMost   = 8 * time.Second         // the last connection is closed when it was idle for longer
+	idleSpare  = 1500 * time.Millisecond // and the others: an upstream counts those of a lost machine for a while, and needs room for its return
+	tightWait  = 500 * time.Millisecond  // between two tries to open a connection to an upstream that accepts no more
+	idleMargin = 500 * time.Millisecond  // before the upstream closes an idle connection
+	aliveProbe = 2 * time.Second         // silence on a connection after which its other end is probed
 )
 
 // ErrBusy says that the upstream takes no further connection of this daemon.
@@ -27,12 +29,14 @@
 	Codec   *Codec
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	max    int // connections that may be open
-	open   int
-	idle   []*conn // the last used one is last
-	closed bool
-	round  time.Duration // least time that a connection took to open
+	mu      sync.Mutex
+	max     int // connections that may be open
+	open    int
+	dialing int       // of open, those that are being opened
+	tight   time.Time // until then the upstream is taken to accept no further connection
+	idle    []*conn   // the last used one is last
+	closed  bool
+	round   time.Duration // least time that a connection took to open
 }
 
 // SetMax changes how many connections may be open; at least one may.
@@ -50,11 +54,17 @@
 	return p.round
 }
 
-// Free reports whether a request could be sent now.
-func (p *Pool) Free() bool {
+// Room returns how many requests may be outstanding: one for each connection,
+// and a few that open new ones. To open many at once would hold the slots of an
+// upstream that many daemons return to at the same time.
+func (p *Pool) Room() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0 || p.open < p.max
+	up := p.open - p.dialing
+	if up > 0 && time.Now().Before(p.tight) {
+		return up
+	}
+	return max(min(p.max, up+max(up/2, 1)), 1)
 }
 
 // Do sends a request and returns what came of it. strict asks for a connection
@@ -65,15 +75,29 @@
 	if err != nil {
 		return Reply{Result: Unsent, Err: err}
 	}
+	fresh := c.fresh
 	re, again := c.exchange(ctx, p.Codec, pl, p.ID, time.Until(due))
+	if fresh && re.Result == Unknown && ctx.Err() == nil {
+		re.Over = true
+		p.tighten()
+	}
 	p.put(c, again)
 	return re
 }
 
+// tighten notes that the upstream broke a new connection off: it has as many
+// as it accepts.
+func (p *Pool) tighten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tight = time.Now().Add(tightWait)
+}
+
 // Probe opens a connection and keeps it, and reports whether that worked.
 func (p *Pool) Probe(ctx context.Context) error {
 	p.mu.Lock()
 	p.open++
+	p.dialing++
 	p.mu.Unlock()
 	c, err := p.connect(ctx)
 	if err != nil {
@@ -100,6 +124,7 @@
 		return nil, ErrBusy
 	}
 	p.open++
+	p.dialing++
 	p.mu.Unlock()
 	return p.connect(ctx)
 }
@@ -133,6 +158,7 @@
 	nc, err := p.Dial(ctx, p.Address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing--
 	if err != nil {
 		p.open--
 		return nil, err
@@ -169,8 +195,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keep := p.idle[:0]
-	for _, c := range p.idle {
-		if c.good(now, false) {
+	for i, c := range p.idle {
+		spare := i < len(p.idle)-1 && now.Sub(c.used) > idleSpare
+		if c.good(now, false) && !spare {
 			keep = append(keep, c)
 			continue
 		}
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -14,6 +14,7 @@
 type Member struct {
 	Name    string // unique in the fleet
 	Address string // for other daemons: IP number and port
+	Domain  string // failure domain
 	Region  string
 }
 
@@ -82,6 +83,29 @@
 	return max(len(f.members), 1)
 }
 
+// unknownShare is the share of a daemon that does not know the others yet:
+// small, as there may be many.
+const unknownShare = 0.1
+
+// Share returns this daemon's part of what the fleet shares, from 0 to 1.
+// Callers come to the failure domains alike and within one to its daemons, so
+// a daemon that is alone in its domain has more to do than one of many.
+func (f *Fleet) Share() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.members) == 0 {
+		return unknownShare
+	}
+	domains := make(map[string]int)
+	for _, m := range f.members {
+		domains[m.Domain]++
+	}
+	// A daemon whose own record is still on its way counts itself.
+	own := max(domains[f.Self.Domain], 1)
+	domains[f.Self.Domain] = own
+	return 1 / float64(len(domains)*own)
+}
+
 // Before returns the first few daemons that read before this one.
 func (f *Fleet) Before(most int) []Member {
 	f.mu.Lock()
--- a/internal/pick/replica.go
+++ b/internal/pick/replica.go
@@ -17,14 +17,15 @@
 	badHalf  = 1500 * time.Millisecond
 	// failCost is what a failed request costs: another try elsewhere while the
 	// budget allows one, and the whole answer when it doesn't.
-	failCost  = 200 * time.Millisecond
-	slowNoise = 2.0 // latencies below so many typical ones are normal variation
-	fullTimes = 3.0 // an answer that took so many typical latencies has queued
-	limitCut  = 0.7 // of the limit is left when requests queue or are turned away
-	limitMost = 64
-	cutEvery  = 50 * time.Millisecond // between two cuts of the limit, at least
-	coldTimes = 1.6                   // a cold replica takes so many times as long
-	ageNoise  = 2.5                   // an outstanding request older than so many is a sign of slowness
+	failCost   = 200 * time.Millisecond
+	slowNoise  = 2.0 // latencies below so many typical ones are normal variation
+	fullTimes  = 3.0 // an answer that took so many typical latencies has queued
+	limitCut   = 0.7 // of the limit is left when requests queue or are turned away
+	limitLeast = 2
+	limitMost  = 64
+	cutEvery   = 50 * time.Millisecond // between two cuts of the limit, at least
+	coldTimes  = 1.6                   // a cold replica takes so many times as long
+	ageNoise   = 2.5                   // an outstanding request older than so many is a sign of slowness
 )
 
 // A Replica is what a daemon knows of one upstream's condition. It is safe for
@@ -42,14 +43,20 @@
 	moved  bool // another process has its address
 	cold   time.Time
 	limit  float64   // requests that may be outstanding; 0 before the first answer
-	cutAt  time.Time // when limit was last lowered
+	cutAt  time.Time // when limit was last lowered; zero until then
+	least  float64   // the limit is not lowered below
 }
 
-// Begin counts a request in.
-func (r *Replica) Begin(now time.Time) {
+// Begin counts a request in, unless as many are outstanding as may be. conns
+// is the number of connections to the replica, of which each holds one.
+func (r *Replica) Begin(now time.Time, conns int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.flight) >= r.room(conns) {
+		return false
+	}
 	r.flight = append(r.flight, now)
+	return true
 }
 
 // End counts a request out that began at the given time.
@@ -68,11 +75,13 @@
 	return len(r.flight)
 }
 
-// Took takes in the latency of a request, without the way to the replica, and
-// the typical one of such requests.
-func (r *Replica) Took(now time.Time, took, typical time.Duration) {
+// Took takes in the latency of a request without the way to the replica, which
+// takes far, and the typical latency of such requests.
+func (r *Replica) Took(now time.Time, took, typical, far time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	// Requests on their way hold no slot: a far replica bears more of them.
+	r.least = limitLeast * float64(far+typical) / float64(max(typical, time.Millisecond))
 	x := float64(took) / float64(max(typical, time.Millisecond))
 	if r.slow == 0 {
 		r.slow = x
@@ -81,7 +90,11 @@
 	}
 	r.slowAt = now
 	if limit := r.limitNow(); float64(len(r.flight)+1) >= limit {
-		r.limit = min(limit+1/limit, limitMost)
+		step := 1 / limit
+		if r.cutAt.IsZero() {
+			step = 1
+		}
+		r.limit = min(limit+step, limitMost)
 	}
 }
 
@@ -97,23 +110,27 @@
 	if now.Sub(r.cutAt) < max(took, cutEvery) {
 		return
 	}
-	r.limit = max(limitCut*r.limitNow(), 2)
+	r.limit = max(limitCut*r.limitNow(), r.least, limitLeast)
 	r.cutAt = now
 }
 
 func (r *Replica) limitNow() float64 {
 	if r.limit == 0 {
-		return float64(max(r.Slots, 2))
+		return float64(max(r.Slots, limitLeast))
 	}
 	return r.limit
 }
 
-// Room reports whether another request may be outstanding: more than the
+// Free reports whether another request may be outstanding: more than the
 // replica works off in good time would only queue there.
-func (r *Replica) Room() bool {
+func (r *Replica) Free(conns int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.flight) < int(r.limitNow())
+	return len(r.flight) < r.room(conns)
+}
+
+func (r *Replica) room(conns int) int {
+	return max(min(int(r.limitNow()), conns), 1)
 }
 
 // Good takes in that a request was answered.
@@ -168,13 +185,6 @@
 	return !r.down && !r.moved
 }
 
-// Suspect reports whether the replica has shown to be slow or failing lately.
-func (r *Replica) Suspect(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.slowNow(now) > slowNoise || r.badNow(now) > badGain/2
-}
-
 // Cost returns what a request is expected to take there, given the way to the
 // replica and what such requests typically take.
 func (r *Replica) Cost(now time.Time, far, typical time.Duration) time.Duration {
@@ -190,7 +200,9 @@
 			slow = max(slow, x)
 		}
 	}
-	full := float64(len(r.flight)) / float64(max(r.Slots, 1))
+	// A request spends the way there and back at no slot.
+	inside := float64(typical) / float64(max(far+typical, 1))
+	full := float64(len(r.flight)) * inside / float64(max(r.Slots, 1))
 	load := 1 + full*full
 	if now.Before(r.cold) {
 		load *= coldTimes
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -108,7 +108,7 @@
 	registry := prometheus.NewRegistry()
 	t.out = make(map[string]bool)
 	t.members = make(map[string]mirror.Member)
-	t.fleet.Self = mirror.Member{Name: t.Settings.Name, Address: t.Settings.Peer, Region: t.Settings.Region}
+	t.fleet.Self = mirror.Member{Name: t.Settings.Name, Address: t.Settings.Peer, Domain: t.Settings.Domain, Region: t.Settings.Region}
 	for _, a := range t.Settings.Seeds {
 		if a != t.Settings.Peer {
 			t.fleet.Seeds = append(t.fleet.Seeds, mirror.Member{Address: a})
@@ -118,13 +118,13 @@
 	t.mirror.Init()
 	t.roster = roster.New()
 	t.Flow = &flow.Flow{
-		Domain:  t.Settings.Domain,
-		Region:  t.Settings.Region,
-		Codec:   t.Codec,
-		Dial:    t.Dial,
-		Members: t.fleet.Size,
-		Log:     t.Log,
-		Meter:   flow.NewMeter(registry),
+		Domain: t.Settings.Domain,
+		Region: t.Settings.Region,
+		Codec:  t.Codec,
+		Dial:   t.Dial,
+		Share:  t.fleet.Share,
+		Log:    t.Log,
+		Meter:  flow.NewMeter(registry),
 	}
 	t.Flow.Limit(t.Settings.Bounds)
 	t.roster.Changed = t.Flow.Update
