--- a/internal/fakes/network.go
+++ b/internal/fakes/network.go
@@ -164,10 +164,10 @@
 // Addr returns the listener's address.
 func (l *listener) Addr() net.Addr { return l.address }
 
-// link is one end of a connection. What is written waits in memory until the
+// pipe is one end of a connection. What is written waits in memory until the
 // link is whole and the other end reads, so that a writer never blocks with its
 // locks held.
-type link struct {
+type pipe struct {
 	net.Conn
 	network *Network
 	from    string
@@ -180,14 +180,14 @@
 }
 
 // newLink returns a started end of a connection.
-func (n *Network) newLink(c net.Conn, from, to string) *link {
-	l := &link{Conn: c, network: n, from: from, to: to, ready: make(chan struct{}, 1)}
+func (n *Network) newLink(c net.Conn, from, to string) *pipe {
+	l := &pipe{Conn: c, network: n, from: from, to: to, ready: make(chan struct{}, 1)}
 	go l.run()
 	return l
 }
 
 // Write keeps b until it can be sent.
-func (l *link) Write(b []byte) (int, error) {
+func (l *pipe) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -198,7 +198,7 @@
 	return len(b), nil
 }
 
-func (l *link) signal() {
+func (l *pipe) signal() {
 	select {
 	case l.ready <- struct{}{}:
 	default:
@@ -209,7 +209,7 @@
 const closeWait = 100 * time.Millisecond
 
 // run sends what waits, until the end is closed.
-func (l *link) run() {
+func (l *pipe) run() {
 	for range l.ready {
 		for l.network.isCut(l.from, l.to) && !l.ended() {
 			time.Sleep(cutPoll)
@@ -232,14 +232,14 @@
 	}
 }
 
-func (l *link) ended() bool {
+func (l *pipe) ended() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.closed
 }
 
 // Close ends reads at once, and the connection once what waits is sent.
-func (l *link) Close() error {
+func (l *pipe) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
@@ -250,10 +250,10 @@
 }
 
 // LocalAddr returns the address of this end.
-func (l *link) LocalAddr() net.Addr { return place(l.from) }
+func (l *pipe) LocalAddr() net.Addr { return place(l.from) }
 
 // RemoteAddr returns the address of the other end.
-func (l *link) RemoteAddr() net.Addr { return place(l.to) }
+func (l *pipe) RemoteAddr() net.Addr { return place(l.to) }
 
 // inbox is the number of datagrams that may wait.
 const inbox = 256
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -70,7 +70,7 @@
 	Rank    func() int             // daemons that read before this one does
 	Apply   func(changes []Object) // takes in what changed, one call at a time
 	Found   func()                 // told when knowledge is fresh again after a gap; may be nil
-	Changed func()                 // told when there is news for other daemons; may be nil
+	Changed func()                 // told when other daemons could be told more; may be nil
 	Log     *event.Log
 
 	mu     sync.Mutex
@@ -250,10 +250,21 @@
 		return nil
 	}
 	t.replace(l)
-	t.asOf = begun
+	t.confirm(begun)
 	return nil
 }
 
+// confirm notes when what is known was known to be all. The mutex is held.
+func (t *Topic) confirm(asOf time.Time) {
+	if !asOf.After(t.asOf) {
+		return
+	}
+	t.asOf = asOf
+	if t.Changed != nil {
+		t.Changed()
+	}
+}
+
 // lost notes a failed call to the store.
 func (t *Topic) lost(ctx context.Context, err error) {
 	t.mu.Lock()
@@ -304,9 +315,7 @@
 	} else {
 		t.apply(c.Objects, c.Revision)
 	}
-	if asOf := now.Add(-c.Age); asOf.After(t.asOf) {
-		t.asOf = asOf
-	}
+	t.confirm(now.Add(-c.Age))
 	if first && c.Age < Stale {
 		t.leads = false
 		t.failed = time.Time{}
--- a/internal/limit/extra.go
+++ b/internal/limit/extra.go
@@ -16,6 +16,10 @@
 	slack  float64       // extra requests on top in each window; this daemon's part
 	window time.Duration // 0 until Set
 	slots  [extraSlots]extraSlot
+
+	// origin is what pieces of time are counted from. It holds a monotonic
+	// reading, so that a jump of the time of day moves no window.
+	origin time.Time
 }
 
 // Set changes the bounds: ratio extra requests for each first one, and slack
@@ -32,13 +36,9 @@
 // piece is kept, so that no window of any phase holds more than allowed.
 const extraSlots = 21
 
-// origin is what pieces of time are counted from. It holds a monotonic reading,
-// so that a jump of the time of day moves no window.
-var origin = time.Now().Add(-time.Hour)
-
 // An extraSlot counts one piece of time.
 type extraSlot struct {
-	piece int64 // number of the piece since origin
+	piece int64 // number of the piece since the origin
 	first int
 	extra int
 }
@@ -102,7 +102,10 @@
 }
 
 func (e *Extra) piece(now time.Time) int64 {
-	return int64(now.Sub(origin) / max(e.window/(extraSlots-1), 1))
+	if e.origin.IsZero() {
+		e.origin = now.Add(-2 * e.window)
+	}
+	return int64(now.Sub(e.origin) / max(e.window/(extraSlots-1), 1))
 }
 
 func (e *Extra) slot(now time.Time) *extraSlot {
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -24,15 +24,25 @@
 func (r *Rate) Take(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.most < 0 {
-		return true
+	if !r.left(now) {
+		return false
+	}
+	if r.most >= 0 {
+		r.sent = append(r.sent, now)
 	}
+	return true
+}
+
+// Left reports whether a request may be sent.
+func (r *Rate) Left(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left(now)
+}
+
+func (r *Rate) left(now time.Time) bool {
 	for len(r.sent) > 0 && now.Sub(r.sent[0]) > time.Second {
 		r.sent = r.sent[1:]
 	}
-	if float64(len(r.sent)+1) > r.most {
-		return false
-	}
-	r.sent = append(r.sent, now)
-	return true
+	return r.most < 0 || float64(len(r.sent)+1) <= r.most
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -19,11 +19,11 @@
 
 // Times of the copying.
 const (
-	pullWait  = time.Second            // a call waits so long for a change
-	callWait  = 600 * time.Millisecond // for an answer beyond that
-	dialWait  = 300 * time.Millisecond // for a connection to another daemon
-	pause     = 100 * time.Millisecond // after a daemon that did not help
-	firstBack = 5 * time.Second        // after which the first daemon is asked again
+	pullWait  = 1500 * time.Millisecond // a call waits so long for news
+	callWait  = 600 * time.Millisecond  // for an answer beyond that
+	dialWait  = 300 * time.Millisecond  // for a connection to another daemon
+	pause     = 100 * time.Millisecond  // after a daemon that did not help
+	firstBack = 5 * time.Second         // after which the first daemon is asked again
 	freshMost = 1600 * time.Millisecond
 )
 
@@ -92,14 +92,17 @@
 	return rpc.NewMirrorServer(m)
 }
 
-// Changes returns what has changed in some topics. It waits for a change.
+// Changes returns what has changed in some topics. It waits for a change, or
+// until all of them are known to be unchanged since the call: else the age of
+// what is known would grow with each daemon that it passes.
 func (m *Mirror) Changes(ctx context.Context, r *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
 	timer := time.NewTimer(min(time.Duration(r.GetWait())*time.Millisecond, pullWait))
 	defer timer.Stop()
+	begun := time.Now()
 	for {
 		changed := m.next()
 		reply, news := m.collect(r.GetCursors())
-		if news {
+		if news || m.confirmed(begun) {
 			return reply, nil
 		}
 		select {
@@ -113,6 +116,17 @@
 	}
 }
 
+// confirmed reports whether all topics are known as of a later time than begun.
+func (m *Mirror) confirmed(begun time.Time) bool {
+	age := time.Since(begun)
+	for _, t := range m.Topics {
+		if t.Age(time.Now()) >= age {
+			return false
+		}
+	}
+	return true
+}
+
 // collect returns what has changed, and whether anything has.
 func (m *Mirror) collect(cursors []*rpc.Cursor) (*rpc.ChangesReply, bool) {
 	reply := &rpc.ChangesReply{}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -44,9 +44,9 @@
 // feed.Stale, so that those who copy stay up to date.
 const (
 	readRoster  = time.Second
-	readRoutes  = 1300 * time.Millisecond
-	readDomains = 1500 * time.Millisecond
-	readMembers = 1500 * time.Millisecond
+	readRoutes  = 1200 * time.Millisecond
+	readDomains = 1200 * time.Millisecond
+	readMembers = 1200 * time.Millisecond
 )
 
 // Settings are what a daemon is told at its start.
