--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -186,9 +186,10 @@
 		}
 		if err != nil {
 			t.lost(ctx, err)
-			pace.Sleep(ctx, pace.Jitter(retry))
-			retry = min(2*retry, retryMost)
 		}
+		// A store that forgets faster than it is read gets no more calls either.
+		pace.Sleep(ctx, pace.Jitter(retry))
+		retry = min(2*retry, retryMost)
 	}
 }
 
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -103,9 +103,10 @@
 	return nil
 }
 
-// Stop ends all work.
+// Stop ends all work and closes all connections.
 func (f *Flow) Stop(context.Context) error {
 	f.duties.End()
+	f.Update(&roster.View{})
 	return nil
 }
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -112,7 +112,6 @@
 	if err := s.flow.Stop(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
-	s.flow.Update(&roster.View{})
 	for _, all := range s.replicas {
 		for _, p := range all {
 			p.Close()
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -119,28 +119,28 @@
 func TestAnswers(t *testing.T) {
 	tests := []struct {
 		name   string
-		script script
+		script *script
 		want   Result
 		body   string
 		again  bool // the connection is kept
 	}{
-		{name: "whole", script: script{answers: []string{answer("1", "body")}}, want: Whole, body: "body", again: true},
-		{name: "chunked", script: script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}}, want: Whole, body: "body", again: true},
-		{name: "interim first", script: script{answers: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("1", "body")}}, want: Whole, body: "body", again: true},
-		{name: "ends with the connection", script: script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\n\r\nbody"}, end: true}, want: Whole, body: "body"},
-		{name: "says that it ends", script: script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"}}, want: Whole, body: "body"},
-		{name: "another request's", script: script{answers: []string{answer("2", "body")}}, want: Unknown},
-		{name: "cut short", script: script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nContent-Length: 9\r\n\r\nbody"}, end: true}, want: Unknown},
-		{name: "reset in the middle", script: script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\n\r\nbo"}, reset: true}, want: Unknown},
-		{name: "cut in the header", script: script{answers: []string{"HTTP/1.1 200 OK\r\nReq"}, end: true}, want: Unknown},
-		{name: "no answer in the protocol", script: script{answers: []string{"hello\r\n\r\n"}}, want: Unknown},
-		{name: "nothing", script: script{answers: []string{""}, end: true}, want: Unknown},
-		{name: "bytes after the end", script: script{answers: []string{answer("1", "body") + "HTTP/1.1 200 OK\r\n\r\n"}}, want: Whole, body: "body"},
+		{name: "whole", script: &script{answers: []string{answer("1", "body")}}, want: Whole, body: "body", again: true},
+		{name: "chunked", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}}, want: Whole, body: "body", again: true},
+		{name: "interim first", script: &script{answers: []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("1", "body")}}, want: Whole, body: "body", again: true},
+		{name: "ends with the connection", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\n\r\nbody"}, end: true}, want: Whole, body: "body"},
+		{name: "says that it ends", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody"}}, want: Whole, body: "body"},
+		{name: "another request's", script: &script{answers: []string{answer("2", "body")}}, want: Unknown},
+		{name: "cut short", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\nContent-Length: 9\r\n\r\nbody"}, end: true}, want: Unknown},
+		{name: "reset in the middle", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nRequest: 1\r\n\r\nbo"}, reset: true}, want: Unknown},
+		{name: "cut in the header", script: &script{answers: []string{"HTTP/1.1 200 OK\r\nReq"}, end: true}, want: Unknown},
+		{name: "no answer in the protocol", script: &script{answers: []string{"hello\r\n\r\n"}}, want: Unknown},
+		{name: "nothing", script: &script{answers: []string{""}, end: true}, want: Unknown},
+		{name: "bytes after the end", script: &script{answers: []string{answer("1", "body") + "HTTP/1.1 200 OK\r\n\r\n"}}, want: Whole, body: "body"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			p := open(t, &tt.script)
+			p := open(t, tt.script)
 			re := do(t, p, get("1"))
 			is.Equal(re.Result, tt.want)
 			if tt.want == Whole {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -283,3 +283,8 @@
 	t.Flow.Limit(s.Bounds)
 	t.Log.Emit(event.SettingsRead, event.Fields{Step: "reload", Detail: s.Name})
 }
+
+// Stop ends all services at once.
+func (t *Tier) Stop(ctx context.Context) error {
+	return t.kernel.Stop(ctx)
+}
