--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,10 @@
 	SettingsBad   ID = 808
 	MembersKnown  ID = 809
 	MemberFailed  ID = 810
+	Partial       ID = 811
+	UpstreamDown  ID = 812
+	UpstreamUp    ID = 813
+	LinesHeld     ID = 900
 )
 
 // A Kind describes an event.
@@ -56,45 +60,58 @@
 	ID    ID
 	Name  string
 	Level logrus.Level
+	Most  int // lines in a second; 0 sets no bound
 }
 
+// Lines in a second of events that come with requests. Failed requests have
+// their lines until a daemon fails so many that one tells as much as another.
+const (
+	failedLines  = 200
+	partialLines = 5
+	changeLines  = 20
+)
+
 // Kinds returns all events in the order of their numbers.
 func Kinds() []Kind {
 	return []Kind{
-		{DaemonStarted, "daemon started", logrus.InfoLevel},
-		{DaemonLeaving, "daemon leaving", logrus.InfoLevel},
-		{DaemonStopped, "daemon stopped", logrus.InfoLevel},
-		{LeaveCut, "work left at the end of a leave", logrus.ErrorLevel},
-		{ConfApplied, "configuration in force", logrus.InfoLevel},
-		{ConfRefused, "object refused", logrus.ErrorLevel},
-		{WatchFailed, "watch failed", logrus.WarnLevel},
-		{PullFailed, "pull from peer failed", logrus.WarnLevel},
-		{StoreFailed, "record not written", logrus.WarnLevel},
-		{ListFailed, "VM list not read", logrus.WarnLevel},
-		{BlockTaken, "block taken", logrus.InfoLevel},
-		{BlockGiven, "block given", logrus.InfoLevel},
-		{GiftFailed, "gift not answered", logrus.WarnLevel},
-		{BlockReissued, "block reissued", logrus.WarnLevel},
-		{FenceFailed, "fence not granted", logrus.WarnLevel},
-		{MemberUp, "member up", logrus.InfoLevel},
-		{MemberDown, "member down", logrus.WarnLevel},
-		{MemberLeaving, "member leaving", logrus.InfoLevel},
-		{ClaimFailed, "claim not made", logrus.WarnLevel},
-		{OutcomeLost, "outcome not recorded", logrus.ErrorLevel},
-		{ClaimsSwept, "claims swept", logrus.InfoLevel},
-		{FilesReread, "certificate re-read", logrus.InfoLevel},
-		{FilesFailed, "certificate not re-read", logrus.ErrorLevel},
-		{Answered, "answer without a whole success", logrus.WarnLevel},
-		{TableTaken, "routing table in force", logrus.InfoLevel},
-		{TableRefused, "routing table refused", logrus.ErrorLevel},
-		{RosterChanged, "upstreams changed", logrus.InfoLevel},
-		{EntryRefused, "registration refused", logrus.WarnLevel},
-		{SourceLost, "metadata store lost", logrus.WarnLevel},
-		{SourceFound, "metadata store regained", logrus.InfoLevel},
-		{SettingsRead, "settings read", logrus.InfoLevel},
-		{SettingsBad, "settings not read", logrus.ErrorLevel},
-		{MembersKnown, "members of the fleet changed", logrus.InfoLevel},
-		{MemberFailed, "member record not written", logrus.WarnLevel},
+		{ID: DaemonStarted, Name: "daemon started", Level: logrus.InfoLevel},
+		{ID: DaemonLeaving, Name: "daemon leaving", Level: logrus.InfoLevel},
+		{ID: DaemonStopped, Name: "daemon stopped", Level: logrus.InfoLevel},
+		{ID: LeaveCut, Name: "work left at the end of a leave", Level: logrus.ErrorLevel},
+		{ID: ConfApplied, Name: "configuration in force", Level: logrus.InfoLevel},
+		{ID: ConfRefused, Name: "object refused", Level: logrus.ErrorLevel},
+		{ID: WatchFailed, Name: "watch failed", Level: logrus.WarnLevel},
+		{ID: PullFailed, Name: "pull from peer failed", Level: logrus.WarnLevel},
+		{ID: StoreFailed, Name: "record not written", Level: logrus.WarnLevel},
+		{ID: ListFailed, Name: "VM list not read", Level: logrus.WarnLevel},
+		{ID: BlockTaken, Name: "block taken", Level: logrus.InfoLevel},
+		{ID: BlockGiven, Name: "block given", Level: logrus.InfoLevel},
+		{ID: GiftFailed, Name: "gift not answered", Level: logrus.WarnLevel},
+		{ID: BlockReissued, Name: "block reissued", Level: logrus.WarnLevel},
+		{ID: FenceFailed, Name: "fence not granted", Level: logrus.WarnLevel},
+		{ID: MemberUp, Name: "member up", Level: logrus.InfoLevel},
+		{ID: MemberDown, Name: "member down", Level: logrus.WarnLevel},
+		{ID: MemberLeaving, Name: "member leaving", Level: logrus.InfoLevel},
+		{ID: ClaimFailed, Name: "claim not made", Level: logrus.WarnLevel},
+		{ID: OutcomeLost, Name: "outcome not recorded", Level: logrus.ErrorLevel},
+		{ID: ClaimsSwept, Name: "claims swept", Level: logrus.InfoLevel},
+		{ID: FilesReread, Name: "certificate re-read", Level: logrus.InfoLevel},
+		{ID: FilesFailed, Name: "certificate not re-read", Level: logrus.ErrorLevel},
+		{ID: Answered, Name: "request failed", Level: logrus.WarnLevel, Most: failedLines},
+		{ID: TableTaken, Name: "routing table in force", Level: logrus.InfoLevel},
+		{ID: TableRefused, Name: "routing table refused", Level: logrus.ErrorLevel},
+		{ID: RosterChanged, Name: "upstreams changed", Level: logrus.InfoLevel},
+		{ID: EntryRefused, Name: "registration refused", Level: logrus.WarnLevel, Most: changeLines},
+		{ID: SourceLost, Name: "metadata store lost", Level: logrus.WarnLevel},
+		{ID: SourceFound, Name: "metadata store regained", Level: logrus.InfoLevel},
+		{ID: SettingsRead, Name: "settings read", Level: logrus.InfoLevel},
+		{ID: SettingsBad, Name: "settings not read", Level: logrus.ErrorLevel},
+		{ID: MembersKnown, Name: "members of the fleet changed", Level: logrus.InfoLevel},
+		{ID: MemberFailed, Name: "member record not written", Level: logrus.WarnLevel},
+		{ID: Partial, Name: "answer without some shards", Level: logrus.InfoLevel, Most: partialLines},
+		{ID: UpstreamDown, Name: "upstream out of use", Level: logrus.WarnLevel, Most: changeLines},
+		{ID: UpstreamUp, Name: "upstream in use again", Level: logrus.InfoLevel, Most: changeLines},
+		{ID: LinesHeld, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
 
@@ -125,6 +142,7 @@
 type Log struct {
 	out    *logrus.Logger
 	recent *ring.Ring[Record]
+	pace   pacer
 }
 
 // New returns a log that writes to out.
@@ -148,6 +166,13 @@
 		return
 	}
 	k := kindOf(id)
+	ok, held := l.pace.allow(k, time.Now())
+	if held > 0 {
+		l.out.WithField("event", int(LinesHeld)).WithField("detail", held).Log(logrus.WarnLevel, kindOf(LinesHeld).Name)
+	}
+	if !ok {
+		return
+	}
 	e := l.out.WithField("event", int(id))
 	for _, p := range []struct{ key, value string }{
 		{"step", f.Step}, {"peer", f.Peer}, {"request", f.Request}, {"class", f.Class}, {"detail", f.Detail},
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
@@ -37,17 +38,27 @@
 		a.Kind = Gone
 	}
 	f.Meter.answer(q, &a)
-	if a.Kind != Served || a.Missed > 0 {
-		f.Log.Emit(event.Answered, event.Fields{
-			Step:    "serve",
-			Request: q.Payload.ID,
-			Class:   q.Route.Name,
-			Detail:  a.String() + " " + tr.String(),
-		})
-	}
+	f.tell(q, &a, tr)
 	return a
 }
 
+// tell logs what became of a request, unless it is a whole success.
+func (f *Flow) tell(q *Request, a *Answer, tr *trace) {
+	id := event.Answered
+	switch {
+	case a.Kind == Served && a.Missed == 0:
+		return
+	case a.Kind == Served:
+		id = event.Partial
+	}
+	f.Log.Emit(id, event.Fields{
+		Step:    "serve",
+		Request: q.Payload.ID,
+		Class:   q.Route.Name,
+		Detail:  fmt.Sprintf("%s after %d ms of %d, version %d: %s", a, time.Since(q.Arrived).Milliseconds(), q.Due.Sub(q.Arrived).Milliseconds(), q.Table.Version, tr),
+	})
+}
+
 // leg returns a leg of a request.
 func (f *Flow) leg(q *Request, st *stat, tr *trace, service string, out chan<- outcome, done <-chan struct{}) *leg {
 	target := q.Route.Target
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/limit"
 	"bronzedoor.dev/bronzedoor/internal/link"
 	"bronzedoor.dev/bronzedoor/internal/pace"
@@ -68,7 +70,7 @@
 }
 
 // fail takes the target out of use until a connection to it can be opened.
-func (t *target) fail() {
+func (t *target) fail(why string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.probing.IsZero() || t.ctx.Err() != nil {
@@ -76,6 +78,7 @@
 	}
 	t.probing = time.Now()
 	t.rep.SetDown(true)
+	t.flow.Log.Emit(event.UpstreamDown, event.Fields{Step: "send", Peer: t.up.Address, Class: t.up.Service, Detail: t.up.ID + ": " + why})
 	go (&prober{t}).run(t.ctx)
 }
 
@@ -116,6 +119,12 @@
 // found takes the target into use again.
 func (p *prober) found() {
 	p.mu.Lock()
+	p.flow.Log.Emit(event.UpstreamUp, event.Fields{
+		Step:   "probe",
+		Peer:   p.up.Address,
+		Class:  p.up.Service,
+		Detail: fmt.Sprintf("%s after %d ms", p.up.ID, time.Since(p.probing).Milliseconds()),
+	})
 	p.probing = time.Time{}
 	p.rep.SetDown(false)
 	p.mu.Unlock()
@@ -160,7 +169,7 @@
 		t.rep.SetMoved()
 	case link.Unsent:
 		if !errors.Is(re.Err, link.ErrBusy) && (!ended(re.Err) || took > silentLeast) {
-			t.fail()
+			t.fail(reason(re))
 		}
 	case link.Unknown:
 		if ended(re.Err) && took <= max(silentLeast, silentTimes*typical) {
@@ -172,10 +181,18 @@
 			return
 		}
 		t.rep.Took(now, took, typical, t.far())
-		t.fail()
+		t.fail(reason(re))
 	}
 }
 
+// reason says in a few words why there is no answer.
+func reason(re link.Reply) string {
+	if re.Err == nil {
+		return "no answer to the request"
+	}
+	return re.Err.Error()
+}
+
 // ended reports whether an error is the end of the request's context.
 func ended(err error) bool {
 	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
