--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -126,7 +126,7 @@
 	}
 	for {
 		late := time.Now().After(l.patient)
-		w := l.group.line.join(late)
+		w := l.group.line.join(late, l.request.Route.Rank)
 		now := time.Now()
 		if (!late || !l.group.line.crowded()) && l.try(ctx, now) {
 			l.group.line.leave(w, true)
--- a/internal/flow/line.go
+++ b/internal/flow/line.go
@@ -7,8 +7,9 @@
 
 // A line holds the requests that wait for an upstream of one service. One is
 // woken for each request that ends, so that a long line costs no more than a
-// short one. Those that can still be in time go first, and among them the
-// oldest; those that are late go when no other waits. The zero value is empty.
+// short one. Those that can still be in time go first, and among them the most
+// urgent, then the oldest; those that are late go when no other waits. The zero
+// value is empty.
 type line struct {
 	mu    sync.Mutex
 	fresh []*waiter
@@ -18,11 +19,12 @@
 // A waiter is one request in a line.
 type waiter struct {
 	ready chan struct{} // receives when it is its turn to look
+	rank  int           // of its route; 0 is the most urgent
 }
 
 // join adds a waiter.
-func (l *line) join(late bool) *waiter {
-	w := &waiter{ready: make(chan struct{}, 1)}
+func (l *line) join(late bool, rank int) *waiter {
+	w := &waiter{ready: make(chan struct{}, 1), rank: rank}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if late {
@@ -63,18 +65,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var w *waiter
-	if len(l.fresh) > 0 {
-		w = l.fresh[0]
-		l.fresh = slices.Delete(l.fresh, 0, 1)
-	} else if len(l.late) > 0 {
-		w = l.late[0]
-		l.late = slices.Delete(l.late, 0, 1)
-	} else {
+	switch {
+	case len(l.fresh) > 0:
+		w, l.fresh = first(l.fresh)
+	case len(l.late) > 0:
+		w, l.late = first(l.late)
+	default:
 		return
 	}
 	w.ready <- struct{}{}
 }
 
+// first takes the most urgent waiter out, and of several the oldest.
+func first(all []*waiter) (*waiter, []*waiter) {
+	i := 0
+	for j, w := range all {
+		if w.rank < all[i].rank {
+			i = j
+		}
+	}
+	w := all[i]
+	return w, slices.Delete(all, i, i+1)
+}
+
 // wakeAll gives all waiters a turn, as what they wait for has changed.
 func (l *line) wakeAll() {
 	l.mu.Lock()
