feed: a read that is lost is soon made again

Reads are now given up after 0.5 s, each third in a row after 2 s for a store that is slow. TestSilentThenBack fails before (nothing known a second after the return).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -33,6 +33,10 @@
 	rankWait   = 150 * time.Millisecond // between two daemons that would read in place of a lost one
 	rankMost   = 10                     // ranks above wait no longer
 	look       = 50 * time.Millisecond  // resolution of the waits
+	readShort  = 500 * time.Millisecond // a read is given up after it, so that one that is lost is soon made again
+	readLong   = 2 * time.Second        // and each third one in a row after this, for a store that is slow
+	readThird  = 3
+	retryNew   = 200 * time.Millisecond // most between two reads of a daemon that knows nothing
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled up to retryMost
 	retryMost  = 800 * time.Millisecond // so that a store's return is noticed within a second
 	retryRest  = 4 * time.Second        // for daemons of which others read first
@@ -82,6 +86,7 @@
 	asOf   time.Time         // when that was known to be all
 	leads  bool              // what is known comes from the store, not from another daemon
 	failed time.Time         // since when the store has not answered
+	missed int               // reads in a row that failed
 	duties kern.Duties
 }
 
@@ -216,7 +221,10 @@
 		t.lost(ctx, err)
 		pace.Sleep(ctx, pace.Jitter(t.retry))
 		most := retryMost
-		if t.Rank() >= readers {
+		switch {
+		case t.Revision() == 0:
+			most = retryNew
+		case t.Rank() >= readers:
 			most = retryRest
 		}
 		t.retry = min(2*t.retry, most)
@@ -239,12 +247,14 @@
 
 func (t *Topic) readAll(ctx context.Context) error {
 	begun := time.Now()
-	l, err := t.Read(ctx)
+	l, err := t.read(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if err != nil {
+		t.missed++
 		return err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.missed = 0
 	t.leads = true
 	t.found()
 	if l.Revision < t.rev {
@@ -255,6 +265,19 @@
 	return nil
 }
 
+// read reads everything, for a time that depends on how reads went before.
+func (t *Topic) read(ctx context.Context) (List, error) {
+	t.mu.Lock()
+	wait := readShort
+	if t.missed%readThird == readThird-1 {
+		wait = readLong
+	}
+	t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return t.Read(ctx)
+}
+
 // confirm notes when what is known was known to be all. The mutex is held.
 func (t *Topic) confirm(asOf time.Time) {
 	if !asOf.After(t.asOf) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -189,6 +189,46 @@
 	})
 }
 
+// TestSilentThenBack starts a daemon while the store answers nothing: it is read
+// within a second of its return, and a store that is only slow is read too.
+func TestSilentThenBack(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent time.Duration // the store answers nothing until then
+		delay  time.Duration // of each answer from then on
+		known  time.Duration // after the store's return
+	}{
+		{name: "silent", silent: 3700 * time.Millisecond, known: time.Second},
+		{name: "slow", delay: 1200 * time.Millisecond, known: 4 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRegistry()
+				begun := time.Now()
+				topic := &Topic{Name: "t", Every: time.Second, Watch: r.watch, Rank: func() int { return 0 }, Apply: func([]Object) {}}
+				topic.Read = func(ctx context.Context) (List, error) {
+					wait := tt.delay
+					if time.Since(begun) < tt.silent {
+						wait = time.Hour
+					}
+					select {
+					case <-time.After(wait):
+						return r.read(ctx)
+					case <-ctx.Done():
+						return List{}, ctx.Err()
+					}
+				}
+				is.NoErr(topic.Start(context.Background()))
+				time.Sleep(tt.silent + tt.known)
+				is.True(topic.Revision() > 0)
+				is.NoErr(topic.Stop(context.Background()))
+			})
+		})
+	}
+}
+
 // TestRanks gives nobody else's knowledge to daemons of some ranks: they read
 // the store themselves, one after the other, and those behind rarely while it
 // is down.
