event: a request's story out of the logs of several daemons; open shards are named

'bronzedoor story ID' reads logs and tells a request's lines and those of the upstreams that they name.

--- a/cmd/bronzedoor/main.go
+++ b/cmd/bronzedoor/main.go
@@ -43,6 +43,7 @@
 	Layout   layoutCmd   `cmd:"" help:"Change or list layouts."`
 	Status   statusCmd   `cmd:"" help:"Show the fleet, or wait for it."`
 	Explain  explainCmd  `cmd:"" help:"Show why a query got its answer."`
+	Story    storyCmd    `cmd:"" help:"Tell a request's story from daemons' logs on standard input."`
 	Query    queryCmd    `cmd:"" help:"Send a query."`
 	Free     freeCmd     `cmd:"" help:"Ask whether an item is free."`
 	Book     bookCmd     `cmd:"" help:"Book an item, at most once."`
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -100,7 +100,7 @@
 		{ID: Answered, Name: "request failed", Level: logrus.WarnLevel, Most: failedLines},
 		{ID: TableTaken, Name: "routing table in force", Level: logrus.InfoLevel},
 		{ID: TableRefused, Name: "routing table refused", Level: logrus.ErrorLevel},
-		{ID: RosterChanged, Name: "upstreams changed", Level: logrus.InfoLevel},
+		{ID: RosterChanged, Name: "upstreams changed", Level: logrus.InfoLevel, Most: changeLines},
 		{ID: EntryRefused, Name: "registration refused", Level: logrus.WarnLevel, Most: changeLines},
 		{ID: SourceLost, Name: "metadata store lost", Level: logrus.WarnLevel},
 		{ID: SourceFound, Name: "metadata store regained", Level: logrus.InfoLevel},
--- a/internal/flow/gather.go
+++ b/internal/flow/gather.go
@@ -20,6 +20,7 @@
 	sends   int
 	parts   [][]byte
 	proofs  []string
+	seen    []bool   // shards with an outcome
 	missing []string // why shards are missing
 }
 
@@ -35,7 +36,7 @@
 // waited for past the objective only while there are too few.
 func (f *Flow) gather(ctx context.Context, q *Request, tr *trace, done <-chan struct{}) Answer {
 	n := len(q.Route.Shards)
-	g := &gather{request: q, least: leastParts(n, q.Route.Least), open: n}
+	g := &gather{request: q, least: leastParts(n, q.Route.Least), open: n, seen: make([]bool, n)}
 	if reachable := f.reachable(q); reachable < g.least {
 		return Answer{Kind: Refused, Again: againDown, Reason: fmt.Sprintf("%d of %d shards reachable", reachable, n)}
 	}
@@ -91,6 +92,7 @@
 // take takes in the outcome of one shard.
 func (g *gather) take(o outcome) {
 	g.open--
+	g.seen[o.index] = true
 	g.sends += o.sends
 	if o.reply.Result != link.Whole {
 		g.missing = append(g.missing, fmt.Sprintf("%d: %s", o.index, o.why))
@@ -110,7 +112,12 @@
 	n := len(g.request.Route.Shards)
 	reason := ""
 	if len(g.parts) < n {
-		reason = fmt.Sprintf("%d of %d shards, %d open %v", len(g.parts), n, g.open, g.missing)
+		for i, seen := range g.seen {
+			if !seen {
+				g.missing = append(g.missing, fmt.Sprintf("%d: open", i))
+			}
+		}
+		reason = fmt.Sprintf("%d of %d shards, without %v", len(g.parts), n, g.missing)
 	}
 	if len(g.parts) < g.least {
 		if g.open == 0 && g.sends == 0 {
