flow: a hedge that would come too late leaves earlier, and knows that it may need a connection

Idle connections are no longer looked at every half second, only when used. Replies of first requests that are answered are left out of log lines, hedges are named.

--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -214,7 +214,10 @@
 
 // take takes in a reply, and reports whether it ends the leg.
 func (l *leg) take(s sent) bool {
-	l.trace.add(l.index, s)
+	if s.reply.Result != link.Whole || s.extra || len(l.tried) > 1 {
+		// A first request that is answered is as it should be.
+		l.trace.add(l.index, s)
+	}
 	switch s.reply.Result {
 	case link.Whole:
 		return true
@@ -282,6 +285,7 @@
 		l.poor = true
 		return false
 	}
+	l.trace.note(l.index, "again "+t.up.ID)
 	l.send(ctx, t, now, !free)
 	return true
 }
@@ -305,12 +309,25 @@
 
 // hedgeDelay returns how long the first request is waited for alone: beyond
 // what such requests nearly always take, but early enough for a second one to
-// be answered in time.
+// be answered in time, which may need a connection first.
 func (l *leg) hedgeDelay() time.Duration {
 	first := l.tried[0]
 	typical := l.stat.typical()
 	d := first.far() + l.stat.tail.Value()
-	latest := time.Until(l.aim) - farRound - 2*typical
-	least := first.far() + tailTimes*typical
-	return max(min(d, latest), least)
+	latest := time.Until(l.aim) - l.hedgeTakes() - tailTimes*typical
+	least := first.far() + l.stat.early.Value()
+	return min(d, max(latest, least))
+}
+
+// hedgeTakes returns how long the way to another upstream takes.
+func (l *leg) hedgeTakes() time.Duration {
+	c := &choice{request: l.request, stat: l.stat, avoid: l.tried}
+	t := l.flow.best(l.group, c, time.Now())
+	if t == nil {
+		return farRound
+	}
+	if t.pool.Idle() {
+		return t.far()
+	}
+	return 2 * t.far()
 }
--- a/internal/flow/stat.go
+++ b/internal/flow/stat.go
@@ -13,6 +13,7 @@
 	tailShare    = 0.95 // quantile of latency after which a hedge is sent
 	tailTimes    = 2.0  // but not before so many medians
 	tailMost     = 4.0  // and not after so many
+	earlyShare   = 0.88 // quantile for a hedge that would else come too late; the budget bears more than the rest
 )
 
 // A stat is the recent latencies of one route's requests, without the way to
@@ -20,11 +21,13 @@
 type stat struct {
 	median hedge.Quant
 	tail   hedge.Quant
+	early  hedge.Quant
 }
 
 func newStat() *stat {
 	return &stat{
 		median: hedge.Quant{Share: 0.5, First: typicalFirst, Least: typicalLeast},
+		early:  hedge.Quant{Share: earlyShare, First: tailTimes * typicalFirst, Least: typicalLeast},
 		tail: hedge.Quant{
 			Share: tailShare,
 			First: tailTimes * typicalFirst,
@@ -38,6 +41,7 @@
 func (s *stat) add(d time.Duration) {
 	s.median.Add(d)
 	s.tail.Add(d)
+	s.early.Add(d)
 }
 
 // typical returns the median latency.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -67,6 +67,13 @@
 	return max(min(p.max, up+max(up/2, 1)), 1)
 }
 
+// Idle reports whether a connection is open and free.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // Do sends a request and returns what came of it. strict asks for a connection
 // that was in use a moment ago, or a new one, so that an idle connection which
 // the upstream drops does not leave the outcome unknown.
@@ -189,15 +196,15 @@
 	_ = c.net.Close()
 }
 
-// Trim closes connections that were idle for too long, or that the upstream
-// has closed.
+// Trim closes connections that were idle for too long. Whether the upstream has
+// closed one is looked at when it is used.
 func (p *Pool) Trim(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	keep := p.idle[:0]
 	for i, c := range p.idle {
 		spare := i < len(p.idle)-1 && now.Sub(c.used) > idleSpare
-		if c.good(now, false) && !spare {
+		if now.Sub(c.used) < c.most() && !spare {
 			keep = append(keep, c)
 			continue
 		}
