--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -70,11 +70,12 @@
 	Name    string
 	Every   time.Duration // between two reads of the store by a daemon that reads it
 	Read    func(ctx context.Context) (List, error)
-	Watch   func(ctx context.Context, since uint64, wait time.Duration) (List, error)
-	Rank    func() int             // daemons that read before this one does
-	Apply   func(changes []Object) // takes in what changed, one call at a time
-	Found   func()                 // told when knowledge is fresh again after a gap; may be nil
-	Changed func()                 // told when other daemons could be told more; may be nil
+	Watch   func(ctx context.Context, since uint64, wait time.Duration) (List, error) // nil for a kind whose changes can wait for the next read
+	Rank    func() int                                                                // daemons that read before this one does
+	Ranked  func() bool                                                               // whether Rank is known; nil if it always is
+	Apply   func(changes []Object)                                                    // takes in what changed, one call at a time
+	Found   func()                                                                    // told when knowledge is fresh again after a gap; may be nil
+	Changed func()                                                                    // told when other daemons could be told more; may be nil
 	Log     *event.Log
 
 	mu     sync.Mutex
@@ -92,8 +93,11 @@
 
 // Start starts following.
 func (t *Topic) Start(ctx context.Context) error {
-	ctx = t.duties.Begin(ctx, 2)
-	go (&watcher{t}).loop(ctx)
+	ctx = t.duties.Begin(ctx, 1)
+	if t.Watch != nil {
+		t.duties.Add()
+		go (&watcher{t}).loop(ctx)
+	}
 	go (&reader{Topic: t, born: time.Now()}).loop(ctx)
 	return nil
 }
@@ -234,11 +238,12 @@
 // due reports whether the store is to be read now.
 func (t *reader) due(now time.Time) bool {
 	rank := min(t.Rank(), rankMost)
+	ranked := t.Ranked == nil || t.Ranked()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case t.rev == 0:
-		return rank == 0 || now.Sub(t.born) > firstWait+time.Duration(rank)*rankWait
+		return ranked && rank == 0 || now.Sub(t.born) > firstWait+time.Duration(rank)*rankWait
 	case rank == 0 || t.leads:
 		return now.Sub(t.asOf) >= t.Every
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -229,6 +229,22 @@
 	}
 }
 
+// TestUnranked starts a daemon that does not know yet who reads before it: it
+// gives the others time to tell, and no more.
+func TestUnranked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRegistry()
+		topic := &Topic{Name: "t", Every: time.Second, Read: r.read, Rank: func() int { return 0 }, Ranked: func() bool { return false }, Apply: func([]Object) {}}
+		is.NoErr(topic.Start(context.Background()))
+		time.Sleep(firstWait - look)
+		is.Equal(topic.Revision(), uint64(0))
+		time.Sleep(4 * look)
+		is.True(topic.Revision() > 0)
+		is.NoErr(topic.Stop(context.Background()))
+	})
+}
+
 // TestRanks gives nobody else's knowledge to daemons of some ranks: they read
 // the store themselves, one after the other, and those behind rarely while it
 // is down.
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -106,6 +106,13 @@
 	return 1 / float64(len(domains)*own)
 }
 
+// Known reports whether any members are known.
+func (f *Fleet) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members) > 0
+}
+
 // Before returns the first few daemons that read before this one.
 func (f *Fleet) Before(most int) []Member {
 	f.mu.Lock()
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -152,6 +152,10 @@
 		follow(t, serviceRoster, readRoster, &t.Source.Roster, t.applyRoster, t.lapsed),
 		follow(t, serviceDomains, readDomains, &t.Source.Domains, t.applyDomains, nil),
 	}
+	// The members come first: they say who reads the others.
+	for _, topic := range topics[1:] {
+		topic.Ranked = t.fleet.Known
+	}
 	t.mirror.Topics = topics
 	services := []named{{serviceFlow, t.Flow}, {serviceJoin, &joiner{tier: t}}}
 	for _, topic := range topics {
