--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
@@ -40,6 +41,7 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and made anew with each change
 	client  *http.Client
+	packer  packer
 	duties  kern.Duties
 }
 
@@ -139,7 +141,7 @@
 		}
 		part, more := t.Since(feed.Cursor{Since: c.GetSince(), Digest: c.GetDigest()}, now)
 		news = news || more
-		reply.Copies = append(reply.Copies, encode(t.Name, part))
+		reply.Copies = append(reply.Copies, m.encode(t.Name, part))
 	}
 	return reply, news
 }
@@ -173,7 +175,10 @@
 	fresh := true
 	now := time.Now()
 	for _, part := range reply.GetCopies() {
-		c := decode(part)
+		c, err := decode(part)
+		if err != nil {
+			return false, err
+		}
 		fresh = fresh && c.Revision > 0 && c.Age < freshMost
 		if t := m.topic(part.GetTopic()); t != nil {
 			t.Merge(c, first, now)
@@ -182,21 +187,25 @@
 	return fresh, nil
 }
 
-func encode(topic string, c feed.Copy) *rpc.Copy {
+func (m *Mirror) encode(topic string, c feed.Copy) *rpc.Copy {
 	out := &rpc.Copy{Topic: topic, Whole: c.Whole, Revision: c.Revision, Age: uint32(c.Age.Milliseconds())}
 	for _, o := range c.Objects {
-		out.Objects = append(out.Objects, &rpc.Object{Name: o.Name, Revision: o.Revision, Gone: o.Gone, Body: o.Body})
+		out.Objects = append(out.Objects, m.packer.encode(o))
 	}
 	return out
 }
 
-func decode(c *rpc.Copy) feed.Copy {
+func decode(c *rpc.Copy) (feed.Copy, error) {
 	out := feed.Copy{Whole: c.GetWhole(), Age: time.Duration(c.GetAge()) * time.Millisecond}
 	out.Revision = c.GetRevision()
 	for _, o := range c.GetObjects() {
-		out.Objects = append(out.Objects, feed.Object{Name: o.GetName(), Revision: o.GetRevision(), Gone: o.GetGone(), Body: o.GetBody()})
+		object, err := unpack(o)
+		if err != nil {
+			return feed.Copy{}, fault.Wrap(err, "unpack", o.GetName())
+		}
+		out.Objects = append(out.Objects, object)
 	}
-	return out
+	return out, nil
 }
 
 // A follower copies from the daemons that read the store before this one.
