--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -365,6 +365,23 @@
 	})
 }
 
+// TestCallerLeavesAsItIsAnswered has the caller's end come with the answer: the
+// answer is delivered.
+func TestCallerLeavesAsItIsAnswered(t *testing.T) {
+	play(t, 1, func(s *stage) {
+		is := is.New(s.t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		read := s.flow.Codec.Read
+		s.flow.Codec.Read = func(p *link.Payload, resp *http.Response, body []byte) link.Reply {
+			cancel()
+			return read(p, resp, body)
+		}
+		a, _ := s.askBy(ctx, "/write/1")
+		is.Equal(a.Kind, Served)
+	})
+}
+
 // TestAddressReused gives an upstream's address to another process.
 func TestAddressReused(t *testing.T) {
 	play(t, 1, func(s *stage) {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -34,7 +34,9 @@
 	if stop() {
 		// A replica that is nearly done keeps its connection.
 		time.AfterFunc(linger, cancel)
-	} else {
+	} else if a.Kind != Served && a.Kind != Relayed {
+		// An answer that is ready is delivered: a caller that has closed one
+		// way of its connection still reads it.
 		a.Kind = Gone
 	}
 	f.Meter.answer(q, &a)
--- a/internal/pick/replica.go
+++ b/internal/pick/replica.go
@@ -68,13 +68,6 @@
 	}
 }
 
-// Flight returns the number of outstanding requests.
-func (r *Replica) Flight() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.flight)
-}
-
 // Took takes in the latency of a request without the way to the replica, which
 // takes far, and the typical latency of such requests.
 func (r *Replica) Took(now time.Time, took, typical, far time.Duration) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -77,25 +77,6 @@
 	r.graceTo = now.Add(Grace)
 }
 
-// Replace takes in all registrations.
-func (r *Roster) Replace(all []Upstream, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	seen := make(map[string]bool, len(all))
-	for _, u := range all {
-		seen[u.ID] = true
-		r.held[u.ID] = &held{Upstream: u}
-	}
-	var missing []*held
-	for id, h := range r.held {
-		if !seen[id] && h.gone.IsZero() {
-			missing = append(missing, h)
-		}
-	}
-	r.vanish(missing, now)
-	r.publish()
-}
-
 // Change takes in changed registrations and the IDs of removed ones.
 func (r *Roster) Change(changed []Upstream, removed []string, now time.Time) {
 	r.mu.Lock()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,7 +24,7 @@
 	is := is.New(t)
 	r := New()
 	now := time.Now()
-	r.Replace(ups(6), now)
+	r.Change(ups(6), nil, now)
 	is.Equal(ids(r), 6)
 	gone := ups(6)[2]
 	gone.Draining = true
@@ -35,7 +35,7 @@
 func TestDomainOutAndBack(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	r.Replace(ups(6), time.Now())
+	r.Change(ups(6), nil, time.Now())
 	r.Exclude(map[string]bool{"d1": true})
 	is.Equal(ids(r), 4)
 	r.Exclude(nil)
@@ -62,7 +62,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			r := New()
-			r.Replace(ups(10), now)
+			r.Change(ups(10), nil, now)
 			if tt.lapsed {
 				r.Lapsed(now)
 			}
@@ -80,11 +80,11 @@
 	is := is.New(t)
 	r := New()
 	now := time.Now()
-	r.Replace(ups(10), now)
+	r.Change(ups(10), nil, now)
 	r.Lapsed(now)
-	r.Replace(ups(2), now)
+	r.Change(nil, []string{"2", "3", "4", "5", "6", "7", "8", "9"}, now)
 	is.Equal(ids(r), 10)
-	r.Replace(ups(10), now.Add(time.Second))
+	r.Change(ups(10), nil, now.Add(time.Second))
 	r.Expire(now.Add(2 * Grace))
 	is.Equal(ids(r), 10)
 }
@@ -96,7 +96,7 @@
 	now := time.Now()
 	all := ups(3)
 	all[0].Draining = true
-	r.Replace(all, now)
+	r.Change(all, nil, now)
 	r.Lapsed(now)
 	r.Change(nil, []string{"0"}, now)
 	is.Equal(ids(r), 2)
