flow: parts in work are bounded by the process's memory; a daemon that starts bears SIGHUP

Cause: nothing bounded the requests in work: at 36 parts each, a burst could pass the memory at which the process is killed. Above the bound a request is refused at once, truly (TestTooManyInWork). SIGHUP between a process's start and its first look at the command line ended it. A daemon that does not know the fleet takes a hundredth of what all share, not a tenth: there may be many.

--- a/cmd/bronzedoor/main.go
+++ b/cmd/bronzedoor/main.go
@@ -63,6 +63,10 @@
 
 // run runs the command line and returns the exit code.
 func run() int {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		// A daemon that is told to reload before it listens for that must not end.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	var c commands
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
@@ -73,6 +74,7 @@
 	Codec  *link.Codec
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
 	Share  func() float64 // this daemon's part of the limits that all share, from 0 to 1
+	Memory int64          // bytes that the process may use; 0 sets no bound
 	Log    *event.Log
 	Meter  *Meter // may be nil
 
@@ -83,6 +85,7 @@
 	table  *route.Table
 	base   context.Context // ends when the flow stops
 	split  route.Splitter
+	legs   atomic.Int64 // parts of requests in work
 	duties kern.Duties
 }
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -446,6 +446,35 @@
 	})
 }
 
+// TestTooManyInWork sends more at once than memory is reckoned for: the rest is
+// refused at once and truly, and everything is served again after it.
+func TestTooManyInWork(t *testing.T) {
+	play(t, 1, func(s *stage) {
+		is := is.New(s.t)
+		const room, asked = 20, 50
+		s.flow.Memory = room * legMemory
+		s.each("single", fakes.Nurture{Work: 100 * time.Millisecond})
+		out := make(chan Answer, asked)
+		for i := range asked {
+			go (&caller{stage: s, number: i, out: out}).run()
+		}
+		synctest.Wait()
+		is.Equal(len(out), asked-room)
+		for range asked - room {
+			a := <-out
+			is.Equal(a.Kind, Refused)
+			is.True(a.Again > 0)
+		}
+		for range room {
+			<-out
+		}
+		a, _ := s.ask("/read/1")
+		is.Equal(a.Kind, Served)
+		sum, _ := s.ran("single")
+		is.True(sum <= 2*(room+1))
+	})
+}
+
 // A caller sends one request of many.
 type caller struct {
 	stage  *stage
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -23,6 +23,16 @@
 	work, cancel := context.WithDeadline(f.base, q.Due)
 	stop := context.AfterFunc(ctx, cancel)
 	tr := &trace{begun: q.Arrived}
+	legs := int64(max(len(q.Route.Shards), 1))
+	defer f.legs.Add(-legs)
+	if n := f.legs.Add(legs); f.Memory > 0 && n > f.Memory/legMemory {
+		cancel()
+		stop()
+		a := Answer{Kind: Refused, Again: againFull, Reason: fmt.Sprintf("%d parts in work", n)}
+		f.Meter.answer(q, &a)
+		f.tell(q, &a, tr)
+		return a
+	}
 	done := make(chan struct{})
 	defer close(done)
 	var a Answer
@@ -101,8 +111,13 @@
 	return Answer{Kind: Lost, Reason: o.why}
 }
 
+// legMemory is the memory in bytes that is reckoned for each part of a request in
+// work, four times of what it usually takes.
+const legMemory = 64 << 10
+
 // Times after which a refused caller is best back.
 const (
+	againFull = 500 * time.Millisecond // requests in work are answered, or late
 	againBusy = 150 * time.Millisecond // a slot becomes free
 	againDown = 700 * time.Millisecond // an upstream may have come back
 )
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -85,7 +85,7 @@
 
 // unknownShare is the share of a daemon that does not know the others yet:
 // small, as there may be many.
-const unknownShare = 0.1
+const unknownShare = 0.01
 
 // Share returns this daemon's part of what the fleet shares, from 0 to 1.
 // Callers come to the failure domains alike and within one to its daemons, so
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -60,6 +60,7 @@
 	Seeds   []string // addresses of some daemons, for a start while the store is away
 	Metrics string   // address of the metrics; empty for none
 	Grace   time.Duration
+	Memory  int64 // bytes that the process may use; 0 sets no bound
 	Bounds  flow.Bounds
 }
 
