--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -255,7 +255,7 @@
 		most  int           // reads in 20 s while the store is down
 	}{
 		{rank: 0, first: 100 * time.Millisecond, most: 60},
-		{rank: 2, first: 1000 * time.Millisecond, most: 60},
+		{rank: 2, first: 100 * time.Millisecond, most: 60},
 		{rank: 20, first: 2200 * time.Millisecond, most: 14},
 	}
 	for _, tt := range tests {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -22,6 +22,7 @@
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled up to retryMost
 	retryMost  = 800 * time.Millisecond // so that a store's return is noticed within a second
 	retryRest  = 4 * time.Second        // for daemons of which others read first
+	starters   = 8                      // daemons of a region that don't wait to be told at their start
 	readers    = 3                      // daemons of a region that retry often
 )
 
@@ -98,7 +99,7 @@
 	defer t.mu.Unlock()
 	switch {
 	case t.rev == 0:
-		return ranked && rank == 0 || now.Sub(t.born) > firstWait+time.Duration(rank)*rankWait
+		return ranked && rank < starters || now.Sub(t.born) > firstWait+time.Duration(rank)*rankWait
 	case rank == 0 || t.leads:
 		return now.Sub(t.asOf) >= t.Every
 	}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -132,13 +132,22 @@
 }
 
 func (f *Flow) tidy() {
+	f.Reshare()
 	now := time.Now()
+	for _, g := range f.all() {
+		for _, t := range g.list() {
+			t.pool.Trim(now)
+		}
+	}
+}
+
+// Reshare takes in that this daemon's part of the shared limits has changed.
+func (f *Flow) Reshare() {
 	share := f.Share()
 	for _, g := range f.all() {
 		g.share(f.limits(), share)
 		for _, t := range g.list() {
 			t.share(f.service(g.name), share)
-			t.pool.Trim(now)
 		}
 	}
 }
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,7 @@
 	ups      map[string][]*roster.Upstream
 	table    *route.Table
 	number   int
+	share    atomic.Int64 // of the shared limits, in thousandths
 }
 
 // Latency objectives and work of the stages.
@@ -88,12 +90,13 @@
 		{Name: "home", Host: "h", Prefix: "/home/", Service: "single", Repeatable: true, Attempts: 3, Target: objective, Timeout: deadline, Regions: []string{"r2"}},
 	}})
 	dial := s.network.Dialer("daemon")
+	s.share.Store(200)
 	s.flow = &Flow{
 		Domain: "d0",
 		Region: "r0",
 		Codec:  fakes.ReplicaCodec(),
 		Dial:   func(ctx context.Context, a string) (net.Conn, error) { return dial(ctx, "tcp", a) },
-		Share:  func() float64 { return 0.2 },
+		Share:  func() float64 { return float64(s.share.Load()) / 1000 },
 	}
 	s.flow.Limit(Bounds{Ratio: 0.2, Slack: 56, Window: 10 * time.Second, ColdTimes: 1.5, ColdSlack: 5})
 	if err := s.flow.Start(context.Background()); err != nil {
@@ -419,6 +422,21 @@
 	})
 }
 
+// TestReshare has a daemon that has just started learn who shares the limits: its
+// part counts at once, not at the next look at its connections.
+func TestReshare(t *testing.T) {
+	play(t, 1, func(s *stage) {
+		is := is.New(s.t)
+		g := s.flow.group("single")
+		s.share.Store(1)
+		s.flow.Reshare()
+		is.True(!g.extra.Take(time.Now()))
+		s.share.Store(500)
+		s.flow.Reshare()
+		is.True(g.extra.Take(time.Now()))
+	})
+}
+
 // TestOverload sends more than the only replica of a shard works off: what is
 // late goes behind, useful work goes on, and nothing is sent that only queues.
 func TestOverload(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,6 +23,7 @@
 	pullWait  = 1500 * time.Millisecond // a call waits so long for news
 	callWait  = 600 * time.Millisecond  // for an answer beyond that
 	dialWait  = 300 * time.Millisecond  // for a connection to another daemon
+	lookWait  = 20 * time.Millisecond   // between two looks for a daemon to follow
 	pause     = 100 * time.Millisecond  // after a daemon that did not help
 	firstBack = 5 * time.Second         // after which the first daemon is asked again
 	freshMost = 1600 * time.Millisecond
@@ -221,7 +222,7 @@
 	for ctx.Err() == nil {
 		before := f.Fleet.Before(sources)
 		if len(before) == 0 {
-			pace.Sleep(ctx, pause)
+			pace.Sleep(ctx, lookWait)
 			continue
 		}
 		if time.Since(moved) > firstBack {
--- a/internal/tier/apply.go
+++ b/internal/tier/apply.go
@@ -81,6 +81,7 @@
 		t.members[c.Name] = c.value
 	}
 	t.fleet.Set(maps.Clone(t.members))
+	t.Flow.Reshare()
 	t.Log.Emit(event.MembersKnown, event.Fields{
 		Step:   "members",
 		Detail: fmt.Sprintf("%d daemons, %d of the region read before", t.fleet.Size(), t.fleet.Rank()),
