relay: requests may begin while a stop waits for the last one

Cause: TestFaults/a_replica_cuts_its_answers_off failed once under the race detector, beside load: a request's Add on a sync.WaitGroup met Wait in Stop with the count at zero. Besides the race, a stop could return before that request was counted.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/object"
@@ -17,7 +16,7 @@
 	selector *object.Selector
 	part     search.Part
 	results  chan result
-	work     *sync.WaitGroup // of the relay: attempts that are still in the air
+	work     *tally // of the relay: attempts that are still in the air
 	due      time.Time
 
 	tried []string // addresses that were sent to
@@ -105,7 +104,7 @@
 	}
 	ctx, done := context.WithDeadline(ctx, c.due)
 	a := &attempt{call: c, index: len(c.from) - 1, up: up}
-	c.work.Add(1)
+	c.work.Add()
 	go a.run(ctx, done)
 }
 
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/search"
@@ -13,7 +12,7 @@
 const probeAge = 2 * time.Second
 
 // probe looks at the upstreams that have not been heard of lately.
-func (s *shard) probe(ctx context.Context, work *sync.WaitGroup) {
+func (s *shard) probe(ctx context.Context, work *tally) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -30,7 +29,7 @@
 		}
 		u.probing = true
 		u.probed = now
-		work.Add(1)
+		work.Add()
 		go l.run(ctx, work)
 	}
 }
@@ -59,7 +58,7 @@
 
 // run opens a connection, learns the upstream's versions and its start, and
 // keeps the connection if it is the only unused one.
-func (l *look) run(ctx context.Context, work *sync.WaitGroup) {
+func (l *look) run(ctx context.Context, work *tally) {
 	defer work.Done()
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,7 +31,7 @@
 	cells  map[string]*cell
 	owned  []permit.Block
 	view   *conf.View
-	work   sync.WaitGroup // requests to upstreams
+	work   tally // requests to upstreams
 	duties kern.Duties
 }
 
@@ -83,7 +83,7 @@
 
 // An idler waits for work to end.
 type idler struct {
-	work *sync.WaitGroup
+	work *tally
 	done chan struct{}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -202,7 +202,7 @@
 // book sends the booking to one replica. Another one is tried only when the
 // first has certainly not executed it.
 func (c *call) book(ctx context.Context) (search.Reply, error) {
-	c.work.Add(1)
+	c.work.Add()
 	defer c.work.Done()
 	for {
 		up, err := c.shard.take(ctx, c.want())
