admin: a change waits for an object API that accepts no connections yet

Only the wait for the daemons tried again. Before: TestEditWaitsForTheStore fails at the first refused connection. After: passes; only connections that could not be opened are tried again, so nothing is asked twice.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"bronzedoor.dev/bronzedoor/internal/daemon"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/pace"
 	"bronzedoor.dev/bronzedoor/internal/peer"
 	"bronzedoor.dev/bronzedoor/internal/store"
 	"bronzedoor.dev/bronzedoor/pkg/query"
@@ -45,7 +47,7 @@
 // written it in between; else the error is store.ErrConflict. It returns the
 // revision of the write, or of the object if change made no difference.
 func Edit[T any](ctx context.Context, e *Editor, kind object.Kind, name string, change func(*T)) (uint64, error) {
-	now, err := e.Store.Get(ctx, kind, name)
+	now, err := e.get(ctx, kind, name)
 	if err != nil && !errors.Is(err, store.ErrMissing) {
 		return 0, err
 	}
@@ -59,6 +61,24 @@
 	return Put(ctx, e, kind, name, now, &v)
 }
 
+// get reads an object. An object API that accepts no connections, as while it
+// starts, is tried again until ctx ends.
+func (e *Editor) get(ctx context.Context, kind object.Kind, name string) (object.Object, error) {
+	for {
+		o, err := e.Store.Get(ctx, kind, name)
+		if !unreached(err) || !pace.Sleep(ctx, pollEvery) {
+			return o, err
+		}
+	}
+}
+
+// unreached reports whether an error is that of a connection that could not be
+// opened, so that nothing was asked.
+func unreached(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Put writes v over the state of an object that was read before.
 func Put[T any](ctx context.Context, e *Editor, kind object.Kind, name string, now object.Object, v *T) (uint64, error) {
 	next, err := object.Encode(kind, name, v)
@@ -77,7 +97,7 @@
 
 // Remove deletes an object.
 func (e *Editor) Remove(ctx context.Context, kind object.Kind, name string) (uint64, error) {
-	now, err := e.Store.Get(ctx, kind, name)
+	now, err := e.get(ctx, kind, name)
 	if err != nil {
 		return 0, err
 	}
@@ -112,7 +132,8 @@
 	return out, nil
 }
 
-// pollEvery is the time between two looks at a daemon.
+// pollEvery is the time between two looks at a daemon, or two tries to reach
+// the object API.
 const pollEvery = 50 * time.Millisecond
 
 // A Watcher asks daemons for their status.
