tier: callers' idle limit follows the configuration

The server's field can't change while it serves without a race, so connections that the server reports as idle are closed by a loop of our own. Ruled out: a deadline on the connection from outside, which the server sets anew itself. Before: TestIdleLimit fails at 'raised': an idle connection of 32 s is closed under a limit of 40 s. After: passes. The header's limits are still read at the start only.

--- a/internal/tier/server.go
+++ b/internal/tier/server.go
@@ -30,6 +30,7 @@
 	address  string
 	handler  http.Handler
 	patience time.Duration // how long it waits for the configuration; 0 for not at all
+	idler    *idler        // closes idle connections; nil leaves that to idleWait
 
 	http   *http.Server
 	duties kern.Duties
@@ -47,6 +48,10 @@
 		IdleTimeout:       idleWait,
 		MaxHeaderBytes:    headerBytes,
 	}
+	if s.idler != nil {
+		s.http.IdleTimeout = 0
+		s.http.ConnState = s.idler.note
+	}
 	go (&accepter{server: s, listener: l}).run(s.duties.Begin(ctx, 1))
 	return nil
 }
@@ -67,7 +72,7 @@
 	}
 }
 
-// limit sets the callers' limits once they are known.
+// limit sets the limits of a caller's header once they are known.
 func (s *server) limit(ctx context.Context) {
 	const look = 20 * time.Millisecond
 	for waited := time.Duration(0); waited < s.patience && !s.tier.Ready(); waited += look {
@@ -85,9 +90,6 @@
 	if l.HeaderWait > 0 {
 		s.http.ReadHeaderTimeout = l.HeaderWait
 	}
-	if l.IdleWait > 0 {
-		s.http.IdleTimeout = l.IdleWait
-	}
 }
 
 // Stop finishes the requests in work, until ctx ends.
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -31,6 +31,7 @@
 	serviceDomains = "domains"
 	serviceMembers = "members"
 	serviceCallers = "callers"
+	serviceIdle    = "idle"
 	serviceReady   = "ready"
 	serviceMetrics = "metrics"
 	serviceJoin    = "join"
@@ -146,7 +147,8 @@
 }
 
 func (t *Tier) register(registry *prometheus.Registry) error {
-	t.callers = &server{tier: t, address: t.Settings.Callers, handler: t.Handler, patience: startWait}
+	idle := &idler{Limit: t.idleLimit}
+	t.callers = &server{tier: t, address: t.Settings.Callers, handler: t.Handler, patience: startWait, idler: idle}
 	topics := []*feed.Topic{
 		follow(t, serviceMembers, readMembers, &t.Source.Members, t.applyMembers, nil),
 		follow(t, serviceRoutes, readRoutes, &t.Source.Routes, t.applyRoutes, nil),
@@ -167,6 +169,7 @@
 		named{serviceMirror, t.mirror},
 		named{serviceExpire, &expirer{tier: t}},
 		named{serviceReady, &server{tier: t, address: t.Settings.Ready, handler: http.HandlerFunc(t.handleReady)}},
+		named{serviceIdle, idle},
 		named{serviceCallers, t.callers},
 	)
 	if t.Settings.Metrics != "" {
@@ -244,6 +247,14 @@
 	}
 }
 
+// idleLimit returns how long a caller's connection may stay idle.
+func (t *Tier) idleLimit() time.Duration {
+	if d := t.Limits().IdleWait; d > 0 {
+		return d
+	}
+	return idleWait
+}
+
 // Limits returns the callers' limits in force.
 func (t *Tier) Limits() route.Limits {
 	if table := t.table.Load(); table != nil {
