tier: the process's memory bounds the parts in work, as the settings say

Cause: the flow's bound on parts in work (TestTooManyInWork) was read from the settings and never handed to the flow, so on the platform it was 0: no bound. Before: TestMemory finds 0.

--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -125,6 +125,7 @@
 		Codec:  t.Codec,
 		Dial:   t.Dial,
 		Share:  t.fleet.Share,
+		Memory: t.Settings.Memory,
 		Log:    t.Log,
 		Meter:  flow.NewMeter(registry),
 	}
