tier: records of daemons that are gone for good expire

A record is now renewed three times in a lease of 90 minutes; the daemon that reads the store before all others removes what was not renewed, by a conditional call, counted on its own clock and anew after each gap in what it sees. A daemon that finds its own record gone writes it again. Ruled out: removal at SIGTERM (a restart would cost two calls and two changes a daemon); a lease that its holder lets lapse by the clock: in a long outage of the store all daemons would drop to next to no connections. Price of that: a daemon that reaches searchers, but for 90 minutes neither the store nor any daemon, keeps its part while others take it up. Before: TestMemberExpires finds three records after two leases. After: one, and the whole share. TestMemberOutage: a store away for two leases costs nobody his record.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,7 @@
 	Partial       ID = 811
 	UpstreamDown  ID = 812
 	UpstreamUp    ID = 813
+	MemberExpired ID = 814
 	LinesHeld     ID = 900
 )
 
@@ -111,6 +112,7 @@
 		{ID: Partial, Name: "answer without some shards", Level: logrus.InfoLevel, Most: partialLines},
 		{ID: UpstreamDown, Name: "upstream out of use", Level: logrus.WarnLevel, Most: changeLines},
 		{ID: UpstreamUp, Name: "upstream in use again", Level: logrus.InfoLevel, Most: changeLines},
+		{ID: MemberExpired, Name: "member record expired", Level: logrus.InfoLevel, Most: changeLines},
 		{ID: LinesHeld, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -113,6 +113,15 @@
 	return len(f.members) > 0
 }
 
+// Missing reports whether other daemons are known and this one's own record is
+// not among theirs.
+func (f *Fleet) Missing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, own := f.members[f.Self.Name]
+	return len(f.members) > 0 && !own
+}
+
 // Before returns the first few daemons that read before this one.
 func (f *Fleet) Before(most int) []Member {
 	f.mu.Lock()
--- a/internal/tier/apply.go
+++ b/internal/tier/apply.go
@@ -73,6 +73,8 @@
 
 // applyMembers takes in the daemons of the fleet.
 func (t *Tier) applyMembers(changes []decoded[mirror.Member]) {
+	before := maps.Clone(t.members)
+	t.reaper.note(changes)
 	for _, c := range changes {
 		if c.Gone || c.bad {
 			delete(t.members, c.Name)
@@ -80,6 +82,10 @@
 		}
 		t.members[c.Name] = c.value
 	}
+	if len(before) > 0 && maps.Equal(before, t.members) {
+		// Records were renewed, or are none of a daemon.
+		return
+	}
 	t.fleet.Set(maps.Clone(t.members))
 	t.Flow.Reshare()
 	t.Log.Emit(event.MembersKnown, event.Fields{
@@ -115,36 +121,3 @@
 		e.tier.roster.Expire(time.Now())
 	}
 }
-
-// A joiner records the daemon as a member of the fleet.
-type joiner struct {
-	tier   *Tier
-	duties kern.Duties
-}
-
-// Start starts the joiner.
-func (j *joiner) Start(ctx context.Context) error {
-	go j.loop(j.duties.Begin(ctx, 1))
-	return nil
-}
-
-// Stop ends the joiner.
-func (j *joiner) Stop(context.Context) error {
-	j.duties.End()
-	return nil
-}
-
-// joinRetry is the time between two tries to record the daemon.
-const joinRetry = 2 * time.Second
-
-func (j *joiner) loop(ctx context.Context) {
-	defer j.duties.Done()
-	for ctx.Err() == nil {
-		err := j.tier.Source.Join(ctx, j.tier.fleet.Self)
-		if err == nil {
-			return
-		}
-		j.tier.Log.Emit(event.MemberFailed, event.Fields{Step: "join", Err: err})
-		pace.Sleep(ctx, pace.Jitter(joinRetry))
-	}
-}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -35,6 +35,7 @@
 	serviceReady   = "ready"
 	serviceMetrics = "metrics"
 	serviceJoin    = "join"
+	serviceReap    = "reap"
 	serviceExpire  = "expire"
 	servicePeers   = "peers"
 	serviceMirror  = "mirror"
@@ -61,7 +62,8 @@
 	Seeds   []string // addresses of some daemons, for a start while the store is away
 	Metrics string   // address of the metrics; empty for none
 	Grace   time.Duration
-	Memory  int64 // bytes that the process may use; 0 sets no bound
+	Memory  int64         // bytes that the process may use; 0 sets no bound
+	Lease   time.Duration // how long a daemon's record lasts that is not renewed; 0 for the default
 	Bounds  flow.Bounds
 }
 
@@ -72,7 +74,11 @@
 	Roster  Kind[roster.Upstream]
 	Domains Kind[string]        // failure domains that get no work
 	Members Kind[mirror.Member] // daemons of the fleet
-	Join    func(ctx context.Context, self mirror.Member) error
+	// Join writes this daemon's own record. Another term makes it another
+	// state of the record, which renews it.
+	Join func(ctx context.Context, self mirror.Member, term int) error
+	// Remove removes a daemon's record if it is still at the revision.
+	Remove func(ctx context.Context, name string, revision uint64) error
 }
 
 // A Kind is one kind of objects.
@@ -102,6 +108,7 @@
 	fleet   mirror.Fleet
 	members map[string]mirror.Member // by object name; used by one topic only
 	mirror  *mirror.Mirror
+	reaper  *reaper
 	callers *server
 }
 
@@ -118,6 +125,7 @@
 	}
 	t.mirror = &mirror.Mirror{Fleet: &t.fleet, Dial: t.Dial}
 	t.mirror.Init()
+	t.reaper = &reaper{tier: t}
 	t.roster = roster.New()
 	t.Flow = &flow.Flow{
 		Domain: t.Settings.Domain,
@@ -151,7 +159,7 @@
 	idle := &idler{Limit: t.idleLimit}
 	t.callers = &server{tier: t, address: t.Settings.Callers, handler: t.Handler, patience: startWait, idler: idle}
 	topics := []*feed.Topic{
-		follow(t, serviceMembers, readMembers, &t.Source.Members, t.applyMembers, nil),
+		follow(t, serviceMembers, readMembers, &t.Source.Members, t.applyMembers, t.reaper.restart),
 		follow(t, serviceRoutes, readRoutes, &t.Source.Routes, t.applyRoutes, nil),
 		follow(t, serviceRoster, readRoster, &t.Source.Roster, t.applyRoster, t.lapsed),
 		follow(t, serviceDomains, readDomains, &t.Source.Domains, t.applyDomains, nil),
@@ -161,7 +169,7 @@
 		topic.Ranked = t.fleet.Known
 	}
 	t.mirror.Topics = topics
-	services := []named{{serviceFlow, t.Flow}, {serviceJoin, &joiner{tier: t}}}
+	services := []named{{serviceFlow, t.Flow}, {serviceJoin, &joiner{tier: t}}, {serviceReap, t.reaper}}
 	for _, topic := range topics {
 		services = append(services, named{topic.Name, topic})
 	}
