mirror: a test's new daemon has a mirror of its own

Cause: TestStartWhileStoreIsAway replaced the topics of a mirror that was running; the race detector saw it when the mirror's loop looked at that moment. Seen once in a test run of this work, then in 5 of 12 processes that ran the package three times side by side. Ruled out: a race in the product, which sets Topics before Start. The check is the same.

--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -217,12 +217,15 @@
 			s.turn(d.name)
 		}
 		is.NoErr(last.topic.Stop(context.Background()))
+		is.NoErr(last.mirror.Stop(context.Background()))
 		fresh := &feed.Topic{Name: "t", Every: time.Second, Read: last.topic.Read, Watch: last.topic.Watch, Rank: func() int { return 0 }, Apply: last.topic.Apply}
-		last.mirror.Topics = []*feed.Topic{fresh}
+		last.mirror = &Mirror{Fleet: last.fleet, Topics: []*feed.Topic{fresh}, Dial: last.mirror.Dial}
+		last.mirror.Init()
 		last.topic = fresh
 		last.fleet.Set(nil)
 		last.fleet.Seeds = []Member{all[0].fleet.Self}
 		is.NoErr(fresh.Start(context.Background()))
+		is.NoErr(last.mirror.Start(context.Background()))
 		time.Sleep(time.Second)
 		is.Equal(fresh.Revision(), s.revision())
 	})
