mirror: a daemon that knows less asks back the one that asks it

A call now bears its sender's address; a daemon whose own knowledge is too old and less than its caller's answers at once and asks the caller back. Those who know look for a fresher one all the while the store is away, so news spreads from one to all. Ruled out: seeds that were down (they answered, with nothing). Before: TestLastOneKnows: seven of eight know nothing after 4 s. After: all know.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -41,6 +41,7 @@
 
 	mu      sync.Mutex
 	changed chan struct{} // closed and made anew with each change
+	tips    chan string   // a daemon that knows more than this one; a further one can wait for its next call
 	client  *http.Client
 	packer  packer
 	duties  kern.Duties
@@ -49,6 +50,7 @@
 // Init makes the mirror ready to be told of changes.
 func (m *Mirror) Init() {
 	m.changed = make(chan struct{})
+	m.tips = make(chan string, 1)
 	m.client = &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialWait)
@@ -97,11 +99,17 @@
 
 // Changes returns what has changed in some topics. It waits for a change, or
 // until all of them are known to be unchanged since the call: else the age of
-// what is known would grow with each daemon that it passes.
+// what is known would grow with each daemon that it passes. A caller that knows
+// more is answered at once, and asked back.
 func (m *Mirror) Changes(ctx context.Context, r *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
 	timer := time.NewTimer(min(time.Duration(r.GetWait())*time.Millisecond, pullWait))
 	defer timer.Stop()
 	begun := time.Now()
+	if m.behind(r.GetCursors(), begun) {
+		m.tip(r.GetFrom())
+		reply, _ := m.collect(r.GetCursors())
+		return reply, nil
+	}
 	for {
 		changed := m.next()
 		reply, news := m.collect(r.GetCursors())
@@ -119,6 +127,29 @@
 	}
 }
 
+// behind reports whether this daemon's knowledge of a topic is too old, and the
+// holder of the cursors knows more.
+func (m *Mirror) behind(cursors []*rpc.Cursor, now time.Time) bool {
+	for _, c := range cursors {
+		t := m.topic(c.GetTopic())
+		if t != nil && c.GetSince() > t.Revision() && t.Age(now) > rescueAge {
+			return true
+		}
+	}
+	return false
+}
+
+// tip notes a daemon to ask. A daemon that has no address is not asked.
+func (m *Mirror) tip(address string) {
+	if address == "" {
+		return
+	}
+	select {
+	case m.tips <- address:
+	default:
+	}
+}
+
 // confirmed reports whether all topics are known as of a later time than begun.
 func (m *Mirror) confirmed(begun time.Time) bool {
 	age := time.Since(begun)
@@ -161,7 +192,7 @@
 func (m *Mirror) pull(ctx context.Context, from Member, first bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullWait+callWait)
 	defer cancel()
-	r := &rpc.ChangesRequest{Wait: uint32(pullWait.Milliseconds())}
+	r := &rpc.ChangesRequest{Wait: uint32(pullWait.Milliseconds()), From: m.Fleet.Self.Address}
 	for _, t := range m.Topics {
 		c := t.Cursor()
 		r.Cursors = append(r.Cursors, &rpc.Cursor{Topic: t.Name, Since: c.Since, Digest: c.Digest})
@@ -239,7 +270,8 @@
 	}
 }
 
-// A rescuer asks any daemon while this one's knowledge is too old.
+// A rescuer asks any daemon while this one's knowledge is too old, and those
+// that are known to know more.
 type rescuer struct {
 	*Mirror
 }
@@ -248,22 +280,38 @@
 // above feed.Stale, so that the store is read first where it can be.
 const rescueAge = feed.Stale + 500*time.Millisecond
 
-// loop looks until ctx ends.
+// loop asks until ctx ends.
 func (s *rescuer) loop(ctx context.Context) {
 	defer s.duties.Done()
-	for pace.Sleep(ctx, pace.Jitter(2*pause)) {
-		now := time.Now()
-		old := false
-		for _, t := range s.Topics {
-			old = old || t.Age(now) > rescueAge
-		}
-		if !old {
-			continue
+	for {
+		look := time.NewTimer(pace.Jitter(2 * pause))
+		select {
+		case <-ctx.Done():
+			look.Stop()
+			return
+		case address := <-s.tips:
+			look.Stop()
+			s.ask(ctx, Member{Address: address})
+		case <-look.C:
+			if from, ok := s.Fleet.Other(); ok && s.old(time.Now()) {
+				s.ask(ctx, from)
+			}
 		}
-		if from, ok := s.Fleet.Other(); ok {
-			// A daemon that does not answer is one of many: the next look
-			// asks another one.
-			_, _ = s.pull(ctx, from, false)
+	}
+}
+
+// old reports whether the knowledge of a topic is too old.
+func (s *rescuer) old(now time.Time) bool {
+	for _, t := range s.Topics {
+		if t.Age(now) > rescueAge {
+			return true
 		}
 	}
+	return false
+}
+
+// ask asks a daemon. One that does not answer is one of many: the next look
+// asks another one.
+func (s *rescuer) ask(ctx context.Context, from Member) {
+	_, _ = s.pull(ctx, from, false)
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -70,6 +70,20 @@
 	mirror *Mirror
 	topic  *feed.Topic
 	server *http.Server
+	net    *fakes.Network
+}
+
+// restart starts a daemon anew at its address. It knows nothing but seeds.
+func (d *daemon) restart(t *testing.T, s *store, seeds []Member) {
+	is := is.New(t)
+	is.NoErr(d.topic.Stop(context.Background()))
+	is.NoErr(d.mirror.Stop(context.Background()))
+	_ = d.server.Close()
+	synctest.Wait()
+	*d = *newDaemon(t, d.net, s, d.fleet.Self)
+	d.fleet.Seeds = seeds
+	is.NoErr(d.topic.Start(context.Background()))
+	is.NoErr(d.mirror.Start(context.Background()))
 }
 
 // fleet runs act beside so many daemons in two regions.
@@ -102,7 +116,7 @@
 }
 
 func newDaemon(t *testing.T, n *fakes.Network, s *store, m Member) *daemon {
-	d := &daemon{name: m.Name, fleet: &Fleet{Self: m}}
+	d := &daemon{name: m.Name, net: n, fleet: &Fleet{Self: m}}
 	dial := n.Dialer(m.Address)
 	d.mirror = &Mirror{Fleet: d.fleet, Dial: func(ctx context.Context, a string) (net.Conn, error) { return dial(ctx, "tcp", a) }}
 	d.mirror.Init()
@@ -231,6 +245,25 @@
 	})
 }
 
+// TestLastOneKnows restarts all daemons but one while the store is away. The
+// one that still knows is no seed: nobody would ask it, but it asks the others,
+// and they ask it back.
+func TestLastOneKnows(t *testing.T) {
+	fleet(t, 8, func(s *store, all []*daemon) {
+		time.Sleep(5 * time.Second)
+		seeds := []Member{all[0].fleet.Self, all[1].fleet.Self, all[2].fleet.Self}
+		for _, d := range all {
+			s.turn(d.name)
+		}
+		for _, d := range all[:7] {
+			d.restart(t, s, seeds)
+		}
+		time.Sleep(4 * time.Second)
+		is := is.New(t)
+		is.Equal(behind(s, all), nil)
+	})
+}
+
 func TestShare(t *testing.T) {
 	is := is.New(t)
 	f := &Fleet{Self: Member{Name: "a", Domain: "x"}}
