flow: a request over many shards is judged once, when it comes, and what is late fills few slots

Cause: under a burst nearly nothing was in time. A request whose lines leave no time now waits behind with all its parts, is refused at once if that takes most of the caller's time, and late parts fill two rounds of a replica's slots at the most, fleetwide, until half of the caller's time is over.

--- a/internal/flow/choose.go
+++ b/internal/flow/choose.go
@@ -12,6 +12,7 @@
 	request *Request
 	stat    *stat
 	avoid   []*target // those that were tried
+	late    bool      // it can't be in time, and must not hold up those that can
 }
 
 // near is the factor by which an upstream outside the region counts as farther
@@ -30,7 +31,7 @@
 		if t == nil {
 			return nil
 		}
-		if t.rep.Begin(now, t.pool.Room()) {
+		if t.rep.Begin(now, t.room(c)) {
 			return t
 		}
 	}
@@ -47,7 +48,7 @@
 		}
 		cost := f.cost(t, c, now)
 		switch {
-		case !f.free(t):
+		case !t.rep.Free(t.room(c)):
 			busy = min(busy, cost)
 		case cost < least:
 			best, least = t, cost
@@ -74,9 +75,14 @@
 	return t.rep.Usable() && c.request.Route.Allows(t.up.Region) && !slices.Contains(c.avoid, t)
 }
 
-// free reports whether a request can be sent to the upstream now.
-func (f *Flow) free(t *target) bool {
-	return t.rep.Free(t.pool.Room())
+// room returns how many requests may be outstanding at the upstream for another
+// one to be sent.
+func (t *target) room(c *choice) int {
+	room := t.pool.Room()
+	if c.late {
+		room = min(room, int(t.lateRoom.Load()))
+	}
+	return room
 }
 
 // hope says what waiting for an upstream may bring.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -37,6 +37,12 @@
 	Due     time.Time // the caller's deadline or the route's timeout, whichever is sooner
 }
 
+// pressing returns when a late request presses: it may fail if it went on
+// waiting behind all that can be in time.
+func (q *Request) pressing() time.Time {
+	return q.Arrived.Add(time.Duration(pressShare * float64(q.Due.Sub(q.Arrived))))
+}
+
 // A Kind says what an Answer is.
 type Kind int
 
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -351,14 +351,7 @@
 }
 
 func (c *caller) run() {
-	now := time.Now()
-	c.out <- c.stage.flow.Serve(context.Background(), &Request{
-		Payload: &link.Payload{ID: fmt.Sprint("c", c.number), Method: http.MethodGet, Target: "/read/1", Host: "h"},
-		Table:   c.stage.table,
-		Route:   c.stage.table.Match("h", "/read/1"),
-		Arrived: now,
-		Due:     now.Add(deadline),
-	})
+	c.out <- c.stage.serve(context.Background(), fmt.Sprint("c", c.number), "/read/1")
 }
 
 // TestColdReplica keeps this daemon's part of what a cold upstream bears.
--- a/internal/flow/gather.go
+++ b/internal/flow/gather.go
@@ -40,14 +40,19 @@
 	if reachable := f.reachable(q); reachable < g.least {
 		return Answer{Kind: Refused, Again: againDown, Reason: fmt.Sprintf("%d of %d shards reachable", reachable, n)}
 	}
-	out := make(chan outcome, n)
 	st := f.stat(q.Route.Name)
+	c := f.crowd(q)
+	if n-c.hopeless < g.least {
+		return Answer{Kind: Refused, Again: min(max(c.longest, againBusy), againFull), Reason: fmt.Sprintf("%d of %d shards have no room for %d ms", c.hopeless, n, c.longest.Milliseconds())}
+	}
+	out := make(chan outcome, n)
 	var aim time.Time
 	for i, service := range q.Route.Shards {
 		l := f.leg(q, st, tr, service, out, done)
 		l.index = i
 		l.patient = l.aim.Add(-2 * st.typical())
 		l.stays = true
+		l.behind = n-c.late < g.least
 		aim = l.aim
 		go l.run(ctx)
 	}
@@ -70,6 +75,35 @@
 	return g.end(Lost)
 }
 
+// A crowd is what the lines of a request's shards leave it.
+type crowd struct {
+	late     int           // shards whose part could not be in time
+	hopeless int           // shards whose part would take most of the time that the caller has
+	longest  time.Duration // wait in a line
+}
+
+// crowd looks at the lines of a request's shards. Each shard on its own would
+// make another part of the requests late; then most answers would wait for one
+// shard or another, and the work on the others would be lost. So it is decided
+// once, for all parts of a request.
+func (f *Flow) crowd(q *Request) crowd {
+	now := time.Now()
+	intime := time.Duration(crowdShare * float64(goal(q.Route)))
+	most := time.Duration(lateShare * float64(q.Due.Sub(now)))
+	var c crowd
+	for _, service := range q.Route.Shards {
+		fresh, late := f.group(service).line.wait(q.Route.Rank, now)
+		c.longest = max(c.longest, fresh)
+		if fresh > intime {
+			c.late++
+		}
+		if fresh > intime && late > most {
+			c.hopeless++
+		}
+	}
+	return c
+}
+
 // reachable counts the shards that have a replica in use, or one that may be
 // back in a moment.
 func (f *Flow) reachable(q *Request) int {
--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -19,6 +19,7 @@
 	aim     time.Time
 	patient time.Time       // until when a request that waits to be sent can still be in time
 	stays   bool            // it waits for longer, behind those that can be in time
+	behind  bool            // it waits behind those from the start
 	done    <-chan struct{} // closed when the request is answered
 	out     chan<- outcome
 
@@ -125,7 +126,7 @@
 		return ""
 	}
 	for {
-		late := time.Now().After(l.patient)
+		late := l.behind || time.Now().After(l.patient)
 		w := l.group.line.join(late, l.request.Route.Rank)
 		now := time.Now()
 		if (!late || !l.group.line.crowded()) && l.try(ctx, now) {
@@ -151,7 +152,8 @@
 
 // try sends the request if an upstream can take it.
 func (l *leg) try(ctx context.Context, now time.Time) bool {
-	t := l.flow.choose(l.group, &choice{request: l.request, stat: l.stat}, now)
+	late := l.stays && (l.behind || now.After(l.patient)) && now.Before(l.request.pressing())
+	t := l.flow.choose(l.group, &choice{request: l.request, stat: l.stat, late: late}, now)
 	if t == nil {
 		return false
 	}
--- a/internal/flow/line.go
+++ b/internal/flow/line.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 // A line holds the requests that wait for an upstream of one service. One is
@@ -14,6 +15,37 @@
 	mu    sync.Mutex
 	fresh []*waiter
 	late  []*waiter
+	since time.Time            // since when fresh is not empty
+	turns int                  // waiters that were sent since then
+	sent  [paceTurns]time.Time // when the last of them were, a ring by turns
+}
+
+// paceTurns is the number of turns by which a line's pace is measured: enough
+// to even out the ways of single requests, and still only some tens of
+// milliseconds of a busy line.
+const paceTurns = 12
+
+// wait returns how long a request of a rank would wait that came now: in time,
+// and as one that is late. It goes by the pace at which the line has moved since
+// it formed.
+func (l *line) wait(rank int, now time.Time) (fresh, late time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ahead := 0
+	for _, w := range l.fresh {
+		if w.rank <= rank {
+			ahead++
+		}
+	}
+	if ahead == 0 {
+		return 0, 0
+	}
+	begun, n := l.since, l.turns
+	if n >= paceTurns {
+		begun, n = l.sent[l.turns%paceTurns], paceTurns
+	}
+	pace := now.Sub(begun) / time.Duration(n+1)
+	return time.Duration(ahead) * pace, time.Duration(len(l.fresh)+len(l.late)) * pace
 }
 
 // A waiter is one request in a line.
@@ -29,9 +61,13 @@
 	defer l.mu.Unlock()
 	if late {
 		l.late = append(l.late, w)
-	} else {
-		l.fresh = append(l.fresh, w)
+		return w
 	}
+	if len(l.fresh) == 0 {
+		l.since = time.Now()
+		l.turns = 0
+	}
+	l.fresh = append(l.fresh, w)
 	return w
 }
 
@@ -41,6 +77,10 @@
 	l.mu.Lock()
 	l.fresh = remove(l.fresh, w)
 	l.late = remove(l.late, w)
+	if used {
+		l.sent[l.turns%paceTurns] = time.Now()
+		l.turns++
+	}
 	l.mu.Unlock()
 	if used {
 		l.wake()
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -12,10 +12,19 @@
 
 // Constants of an answer's timing.
 const (
-	aimShare  = 0.9                    // an answer leaves before this share of the latency objective
-	sendShare = 0.25                   // a request waits for an upstream up to this share of it
-	aimFirst  = 300 * time.Millisecond // objective of a route that sets none
-	linger    = 400 * time.Millisecond // how long upstreams may go on once there is an answer
+	aimShare  = 0.9  // an answer leaves before this share of the latency objective
+	sendShare = 0.25 // a request waits for an upstream up to this share of it
+	// crowdShare is the share of it that a part may be expected to wait in line
+	// when its request is let in. Waits differ, and the work takes its time too.
+	crowdShare = 0.25
+	// lateShare is the share of the caller's time that the parts of a late
+	// request may be expected to wait in line.
+	lateShare = 0.4
+	// pressShare is the share of the caller's time after which a late request
+	// is sent as if it were in time.
+	pressShare = 0.5
+	aimFirst   = 300 * time.Millisecond // objective of a route that sets none
+	linger     = 400 * time.Millisecond // how long upstreams may go on once there is an answer
 )
 
 // Serve answers a request. ctx ends when the caller has left.
@@ -71,12 +80,17 @@
 	})
 }
 
+// goal returns a route's latency objective.
+func goal(r *route.Route) time.Duration {
+	if r.Target > 0 {
+		return r.Target
+	}
+	return aimFirst
+}
+
 // leg returns a leg of a request.
 func (f *Flow) leg(q *Request, st *stat, tr *trace, service string, out chan<- outcome, done <-chan struct{}) *leg {
-	target := q.Route.Target
-	if target <= 0 {
-		target = aimFirst
-	}
+	target := goal(q.Route)
 	return &leg{
 		flow:    f,
 		group:   f.group(service),
--- a/internal/flow/stage_test.go
+++ b/internal/flow/stage_test.go
@@ -130,15 +130,20 @@
 func (s *stage) askBy(ctx context.Context, path string) (Answer, time.Duration) {
 	s.number++
 	now := time.Now()
-	q := &Request{
-		Payload: &link.Payload{ID: fmt.Sprint("q", s.number), Method: http.MethodGet, Target: path, Host: "h"},
+	a := s.serve(ctx, fmt.Sprint("q", s.number), path)
+	return a, time.Since(now)
+}
+
+// serve sends a request of an identity. It is safe for concurrent use.
+func (s *stage) serve(ctx context.Context, id, path string) Answer {
+	now := time.Now()
+	return s.flow.Serve(ctx, &Request{
+		Payload: &link.Payload{ID: id, Method: http.MethodGet, Target: path, Host: "h"},
 		Table:   s.table,
 		Route:   s.table.Match("h", path),
 		Arrived: now,
 		Due:     now.Add(deadline),
-	}
-	a := s.flow.Serve(ctx, q)
-	return a, time.Since(now)
+	})
 }
 
 // each changes how all replicas of a service behave.
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
@@ -30,6 +31,9 @@
 	rep   *pick.Replica
 	pool  *link.Pool
 	cold  limit.Rate
+	// lateRoom is the number of requests that may be outstanding there when
+	// one is sent that is late.
+	lateRoom atomic.Int32
 
 	ctx    context.Context // ends when the upstream is gone
 	cancel context.CancelFunc
@@ -38,6 +42,11 @@
 	probing time.Time // since when; zero if it isn't
 }
 
+// lateRounds is the number of rounds of its slots that late requests may fill at
+// an upstream: enough to keep it at work, and a short wait for those that come
+// after them and can still be in time.
+const lateRounds = 2
+
 // share sets this daemon's part of the upstream's limits.
 func (t *target) share(s route.Service, share float64) {
 	if s.Conns > 0 {
@@ -51,6 +60,7 @@
 		allowed = spare * (s.ColdRate*b.ColdTimes + b.ColdSlack) * share
 	}
 	t.cold.Set(allowed)
+	t.lateRoom.Store(int32(lateRounds * float64(t.up.Slots) * share))
 }
 
 // far returns the round trip to the upstream.
