flow: an answer that comes as its caller's time ends is taken

The caller's end and the reply were ready at the same moment, and the leg took either. Now it takes what its requests in flight bring, which end with the same context, before it gives up.

--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -110,11 +110,22 @@
 		case <-l.done:
 			return l.end(l.failure, "answered")
 		case <-ctx.Done():
-			return l.end(link.Reply{Result: link.Unknown, Err: ctx.Err()}, "deadline")
+			return l.settle(ctx)
 		}
 	}
 }
 
+// settle ends a leg whose context has ended. The requests in flight end with it,
+// but an answer that has just come is an answer.
+func (l *leg) settle(ctx context.Context) outcome {
+	for ; l.flying > 0; l.flying-- {
+		if s := <-l.replies; l.take(s) {
+			return l.end(s.reply, "")
+		}
+	}
+	return l.end(link.Reply{Result: link.Unknown, Err: ctx.Err()}, "deadline")
+}
+
 func (l *leg) end(re link.Reply, why string) outcome {
 	return outcome{index: l.index, reply: re, sends: l.sends, why: why}
 }
