kern: a service that is one loop is a Worker

The four such services of the tier each wrote out the same Start and Stop (duplicates). No change of behaviour; platform's and kern's tests are green under the race detector.

--- a/internal/kern/duty.go
+++ b/internal/kern/duty.go
@@ -34,3 +34,27 @@
 	d.cancel()
 	d.work.Wait()
 }
+
+// A Worker is a service that is one loop. Loop returns when its context ends.
+type Worker struct {
+	Loop func(ctx context.Context)
+
+	duties Duties
+}
+
+// Start starts the loop.
+func (w *Worker) Start(ctx context.Context) error {
+	go w.run(w.duties.Begin(ctx, 1))
+	return nil
+}
+
+// Stop ends the loop, and returns when it has.
+func (w *Worker) Stop(context.Context) error {
+	w.duties.End()
+	return nil
+}
+
+func (w *Worker) run(ctx context.Context) {
+	defer w.duties.Done()
+	w.Loop(ctx)
+}
--- a/internal/tier/apply.go
+++ b/internal/tier/apply.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
-	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/pace"
 	"bronzedoor.dev/bronzedoor/internal/roster"
@@ -96,27 +95,14 @@
 
 // An expirer drops upstreams whose registration did not come back.
 type expirer struct {
-	tier   *Tier
-	duties kern.Duties
-}
-
-// Start starts the expirer.
-func (e *expirer) Start(ctx context.Context) error {
-	go e.loop(e.duties.Begin(ctx, 1))
-	return nil
-}
-
-// Stop ends the expirer.
-func (e *expirer) Stop(context.Context) error {
-	e.duties.End()
-	return nil
+	tier *Tier
 }
 
 // expireEvery is the time between two looks for upstreams that are gone.
 const expireEvery = 200 * time.Millisecond
 
+// loop looks for them until ctx ends.
 func (e *expirer) loop(ctx context.Context) {
-	defer e.duties.Done()
 	for pace.Sleep(ctx, expireEvery) {
 		e.tier.roster.Expire(time.Now())
 	}
--- a/internal/tier/idler.go
+++ b/internal/tier/idler.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/pace"
 )
 
@@ -17,29 +16,16 @@
 type idler struct {
 	Limit func() time.Duration // the longest idle time now; 0 sets none
 
-	mu     sync.Mutex
-	since  map[net.Conn]time.Time // of the idle connections
-	duties kern.Duties
+	mu    sync.Mutex
+	since map[net.Conn]time.Time // of the idle connections
 }
 
 // idleEvery is the time between two looks for idle connections. A connection
 // stays open for up to so much longer than its limit, and never shorter.
 const idleEvery = 500 * time.Millisecond
 
-// Start starts closing.
-func (d *idler) Start(ctx context.Context) error {
-	go d.loop(d.duties.Begin(ctx, 1))
-	return nil
-}
-
-// Stop ends it.
-func (d *idler) Stop(context.Context) error {
-	d.duties.End()
-	return nil
-}
-
+// loop looks for such connections until ctx ends.
 func (d *idler) loop(ctx context.Context) {
-	defer d.duties.Done()
 	for pace.Sleep(ctx, idleEvery) {
 		d.close(time.Now())
 	}
--- a/internal/tier/join.go
+++ b/internal/tier/join.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
-	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/pace"
 )
@@ -34,26 +33,12 @@
 
 // A joiner keeps the daemon recorded as a member of the fleet.
 type joiner struct {
-	tier   *Tier
-	duties kern.Duties
-}
-
-// Start starts the joiner.
-func (j *joiner) Start(ctx context.Context) error {
-	go j.loop(j.duties.Begin(ctx, 1))
-	return nil
-}
-
-// Stop ends the joiner.
-func (j *joiner) Stop(context.Context) error {
-	j.duties.End()
-	return nil
+	tier *Tier
 }
 
 // loop writes the record at the start, and again when its renewal is due or
 // when it has been removed.
 func (j *joiner) loop(ctx context.Context) {
-	defer j.duties.Done()
 	for term := 0; ctx.Err() == nil; {
 		err := j.tier.Source.Join(ctx, j.tier.fleet.Self, term)
 		if err != nil {
@@ -82,25 +67,12 @@
 // of what daemons share would shrink with each VM that is ever replaced. One
 // daemon does so, the one that reads the store before all others.
 type reaper struct {
-	tier   *Tier
-	duties kern.Duties
+	tier *Tier
 
 	mu     sync.Mutex
 	leases mirror.Leases
 }
 
-// Start starts the reaper.
-func (r *reaper) Start(ctx context.Context) error {
-	go r.loop(r.duties.Begin(ctx, 1))
-	return nil
-}
-
-// Stop ends the reaper.
-func (r *reaper) Stop(context.Context) error {
-	r.duties.End()
-	return nil
-}
-
 // note takes in changed records.
 func (r *reaper) note(changes []decoded[mirror.Member]) {
 	r.mu.Lock()
@@ -128,8 +100,8 @@
 	return r.leases.Expired(time.Now(), most)
 }
 
+// loop looks for expired records until ctx ends.
 func (r *reaper) loop(ctx context.Context) {
-	defer r.duties.Done()
 	lease := r.tier.Settings.lease()
 	for pace.Sleep(ctx, lease/reapLooks) {
 		if r.tier.fleet.Known() && r.tier.fleet.Rank() == 0 {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -155,6 +155,11 @@
 	service kern.Service
 }
 
+// worker names a service that is one loop.
+func worker(name string, loop func(ctx context.Context)) named {
+	return named{name, &kern.Worker{Loop: loop}}
+}
+
 func (t *Tier) register(registry *prometheus.Registry) error {
 	idle := &idler{Limit: t.idleLimit}
 	t.callers = &server{tier: t, address: t.Settings.Callers, handler: t.Handler, patience: startWait, idler: idle}
@@ -169,16 +174,16 @@
 		topic.Ranked = t.fleet.Known
 	}
 	t.mirror.Topics = topics
-	services := []named{{serviceFlow, t.Flow}, {serviceJoin, &joiner{tier: t}}, {serviceReap, t.reaper}}
+	services := []named{{serviceFlow, t.Flow}, worker(serviceJoin, (&joiner{tier: t}).loop), worker(serviceReap, t.reaper.loop)}
 	for _, topic := range topics {
 		services = append(services, named{topic.Name, topic})
 	}
 	services = append(services,
 		named{servicePeers, &server{tier: t, address: t.Settings.Peer, handler: t.mirror.Handler()}},
 		named{serviceMirror, t.mirror},
-		named{serviceExpire, &expirer{tier: t}},
+		worker(serviceExpire, (&expirer{tier: t}).loop),
 		named{serviceReady, &server{tier: t, address: t.Settings.Ready, handler: http.HandlerFunc(t.handleReady)}},
-		named{serviceIdle, idle},
+		worker(serviceIdle, idle.loop),
 		named{serviceCallers, t.callers},
 	)
 	if t.Settings.Metrics != "" {
