--- a/internal/flow/line.go
+++ b/internal/flow/line.go
@@ -25,6 +25,10 @@
 // milliseconds of a busy line.
 const paceTurns = 12
 
+// paceLeast is the number of turns below which the pace is not known: at its
+// start a daemon opens its first connections, and waits for them.
+const paceLeast = 4
+
 // wait returns how long a request of a rank would wait that came now: in time,
 // and as one that is late. It goes by the pace at which the line has moved since
 // it formed.
@@ -37,10 +41,10 @@
 			ahead++
 		}
 	}
-	if ahead == 0 {
+	begun, n := l.since, l.turns
+	if ahead == 0 || n < paceLeast {
 		return 0, 0
 	}
-	begun, n := l.since, l.turns
 	if n >= paceTurns {
 		begun, n = l.sent[l.turns%paceTurns], paceTurns
 	}
