--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -132,12 +132,13 @@
 
 // A Record is one event that happened.
 type Record struct {
-	ID     ID     `json:"event"`
-	Name   string `json:"name"`
-	Time   string `json:"time"` // RFC 3339
-	Step   string `json:"step,omitempty"`
-	Peer   string `json:"peer,omitempty"`
-	Detail string `json:"detail,omitempty"`
+	ID      ID     `json:"event"`
+	Name    string `json:"name"`
+	Time    string `json:"time"` // RFC 3339
+	Step    string `json:"step,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+	Request string `json:"request,omitempty"` // identity of a caller's request
+	Detail  string `json:"detail,omitempty"`
 }
 
 // A Log writes events and holds the recent ones. A nil Log drops them.
@@ -204,11 +205,12 @@
 		detail += ": " + f.Err.Error()
 	}
 	l.recent.Put(Record{
-		ID:     k.ID,
-		Name:   k.Name,
-		Time:   time.Now().UTC().Format(time.RFC3339Nano),
-		Step:   f.Step,
-		Peer:   f.Peer,
-		Detail: detail,
+		ID:      k.ID,
+		Name:    k.Name,
+		Time:    time.Now().UTC().Format(time.RFC3339Nano),
+		Step:    f.Step,
+		Peer:    f.Peer,
+		Request: f.Request,
+		Detail:  detail,
 	})
 }
