--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -32,7 +32,7 @@
 	pool  *link.Pool
 	cold  limit.Rate
 	// lateRoom is the number of requests that may be outstanding there when
-	// one is sent that is late.
+	// one is sent that is late; 0 counts as 1, as in pick.Replica.
 	lateRoom atomic.Int32
 
 	ctx    context.Context // ends when the upstream is gone
