tier: records expire only while the records are known afresh

Cause: TestMemberOutage failed in a run under load beside other tests (then 3 of 40 side by side): a daemon's record was removed at the store's return after an outage longer than a lease. The reaper looked between the store's return and the next read of the records, when the leases had not been counted anew yet. It now acts only while the records are less than feed.Stale old; a read after a gap counts all leases anew before that. Ruled out: a late answer of an earlier call (calls are conditional and end with the outage).

--- a/internal/tier/join.go
+++ b/internal/tier/join.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/pace"
 )
@@ -68,6 +69,7 @@
 // daemon does so, the one that reads the store before all others.
 type reaper struct {
 	tier *Tier
+	age  func(now time.Time) time.Duration // of what is known of the records
 
 	mu     sync.Mutex
 	leases mirror.Leases
@@ -104,7 +106,9 @@
 func (r *reaper) loop(ctx context.Context) {
 	lease := r.tier.Settings.lease()
 	for pace.Sleep(ctx, lease/reapLooks) {
-		if r.tier.fleet.Known() && r.tier.fleet.Rank() == 0 {
+		// After an outage the records are read first: until then all of them
+		// look as if nobody had renewed his.
+		if r.tier.fleet.Known() && r.tier.fleet.Rank() == 0 && r.age(time.Now()) < feed.Stale {
 			r.reap(ctx, lease)
 		}
 	}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -174,6 +174,7 @@
 		topic.Ranked = t.fleet.Known
 	}
 	t.mirror.Topics = topics
+	t.reaper.age = topics[0].Age
 	services := []named{{serviceFlow, t.Flow}, worker(serviceJoin, (&joiner{tier: t}).loop), worker(serviceReap, t.reaper.loop)}
 	for _, topic := range topics {
 		services = append(services, named{topic.Name, topic})
