flow: a backlog is called one

'crowd' and 'guest' were metaphors; the field says backlog. Names only: the package's tests are green under the race detector, the linters are clean.

--- a/internal/flow/gather.go
+++ b/internal/flow/gather.go
@@ -41,9 +41,9 @@
 		return Answer{Kind: Refused, Again: againDown, Reason: fmt.Sprintf("%d of %d shards reachable", reachable, n)}
 	}
 	st := f.stat(q.Route.Name)
-	c := f.crowd(q)
-	if n-c.hopeless < g.least {
-		return Answer{Kind: Refused, Again: min(max(c.longest, againBusy), againFull), Reason: fmt.Sprintf("%d of %d shards have no room for %d ms", c.hopeless, n, c.longest.Milliseconds())}
+	b := f.backlog(q)
+	if n-b.hopeless < g.least {
+		return Answer{Kind: Refused, Again: min(max(b.longest, againBusy), againFull), Reason: fmt.Sprintf("%d of %d shards have no room for %d ms", b.hopeless, n, b.longest.Milliseconds())}
 	}
 	out := make(chan outcome, n)
 	var aim time.Time
@@ -52,7 +52,7 @@
 		l.index = i
 		l.patient = l.aim.Add(-2 * st.typical())
 		l.stays = true
-		l.behind = n-c.late < g.least
+		l.behind = n-b.late < g.least
 		aim = l.aim
 		go l.run(ctx)
 	}
@@ -75,33 +75,33 @@
 	return g.end(Lost)
 }
 
-// A crowd is what the lines of a request's shards leave it.
-type crowd struct {
+// A backlog is what waits at a request's shards, as far as it matters to the request.
+type backlog struct {
 	late     int           // shards whose part could not be in time
 	hopeless int           // shards whose part would take most of the time that the caller has
 	longest  time.Duration // wait in a line
 }
 
-// crowd looks at the lines of a request's shards. Each shard on its own would
+// backlog looks at the lines of a request's shards. Each shard on its own would
 // make another part of the requests late; then most answers would wait for one
 // shard or another, and the work on the others would be lost. So it is decided
 // once, for all parts of a request.
-func (f *Flow) crowd(q *Request) crowd {
+func (f *Flow) backlog(q *Request) backlog {
 	now := time.Now()
-	intime := time.Duration(crowdShare * float64(goal(q.Route)))
+	intime := time.Duration(waitShare * float64(goal(q.Route)))
 	most := time.Duration(lateShare * float64(q.Due.Sub(now)))
-	var c crowd
+	var b backlog
 	for _, service := range q.Route.Shards {
 		fresh, late := f.group(service).line.wait(q.Route.Rank, now)
-		c.longest = max(c.longest, fresh)
+		b.longest = max(b.longest, fresh)
 		if fresh > intime {
-			c.late++
+			b.late++
 		}
 		if fresh > intime && late > most {
-			c.hopeless++
+			b.hopeless++
 		}
 	}
-	return c
+	return b
 }
 
 // reachable counts the shards that have a replica in use, or one that may be
--- a/internal/flow/crowd_test.go
+++ b/internal/flow/overload_test.go
@@ -20,22 +20,22 @@
 	other   int
 }
 
-// A guest sends one request and tells how long it took.
-type guest struct {
+// A timedCaller sends one request and tells how long it took.
+type timedCaller struct {
 	stage  *stage
 	number int
-	out    chan<- guestAnswer
+	out    chan<- timedAnswer
 }
 
-type guestAnswer struct {
+type timedAnswer struct {
 	Answer
 	took time.Duration
 }
 
-func (g *guest) run() {
+func (c *timedCaller) run() {
 	now := time.Now()
-	a := g.stage.serve(context.Background(), fmt.Sprint("g", g.number), "/all/1")
-	g.out <- guestAnswer{Answer: a, took: time.Since(now)}
+	a := c.stage.serve(context.Background(), fmt.Sprint("g", c.number), "/all/1")
+	c.out <- timedAnswer{Answer: a, took: time.Since(now)}
 }
 
 // TestOverloadOfShards asks for 1.4 times what the last replica of each shard
@@ -60,9 +60,9 @@
 		s.ask("/all/1")
 		time.Sleep(time.Second)
 		asked := int(span.Seconds() * rate)
-		out := make(chan guestAnswer, asked)
+		out := make(chan timedAnswer, asked)
 		for i := range asked {
-			go (&guest{stage: s, number: i, out: out}).run()
+			go (&timedCaller{stage: s, number: i, out: out}).run()
 			time.Sleep(time.Duration(rnd.ExpFloat64() * float64(time.Second) / rate))
 			shard := s.table.Match("h", "/all/").Shards[rnd.IntN(shards)]
 			s.replicas[shard][0].Set(fakes.Nurture{Work: time.Duration(10+rnd.IntN(21)) * time.Millisecond})
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -14,9 +14,9 @@
 const (
 	aimShare  = 0.9  // an answer leaves before this share of the latency objective
 	sendShare = 0.25 // a request waits for an upstream up to this share of it
-	// crowdShare is the share of it that a part may be expected to wait in line
+	// waitShare is the share of it that a part may be expected to wait in line
 	// when its request is let in. Waits differ, and the work takes its time too.
-	crowdShare = 0.25
+	waitShare = 0.25
 	// lateShare is the share of the caller's time that the parts of a late
 	// request may be expected to wait in line.
 	lateShare = 0.4
