link: daemons take turns at an upstream with too few connections for all

Cause: 300 daemons are 100 in a region, and an upstream accepts 67 connections. Now a daemon of such a region keeps a connection only so long that it has one for its part of the time.

Ruled out: shorter idle times after a reset: those that hold connections would not notice.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -79,8 +79,9 @@
 	Region string
 	Codec  *link.Codec
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
-	Share  func() float64 // this daemon's part of the limits that all share, from 0 to 1
-	Memory int64          // bytes that the process may use; 0 sets no bound
+	Share  func() float64          // this daemon's part of the limits that all share, from 0 to 1
+	Near   func(region string) int // daemons that use the upstreams of a region; nil if that is unknown
+	Memory int64                   // bytes that the process may use; 0 sets no bound
 	Log    *event.Log
 	Meter  *Meter // may be nil
 
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -54,6 +54,9 @@
 	} else {
 		t.pool.SetMax(t.up.Slots)
 	}
+	if t.flow.Near != nil {
+		t.pool.SetUsers(s.Conns, t.flow.Near(t.up.Region))
+	}
 	b := t.flow.limits()
 	allowed := -1.0
 	if s.ColdRate > 0 {
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -30,13 +31,16 @@
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
-	max     int // connections that may be open
+	max     int     // connections that may be open
+	part    float64 // of the time that this daemon may have a connection open; 0 for always
 	open    int
 	dialing int       // of open, those that are being opened
 	tight   time.Time // until then the upstream is taken to accept no further connection
 	idle    []*conn   // the last used one is last
 	closed  bool
 	round   time.Duration // least time that a connection took to open
+	asked   time.Time     // when the last request came
+	gap     time.Duration // typical time between two requests
 }
 
 // SetMax changes how many connections may be open; at least one may.
@@ -46,6 +50,24 @@
 	p.max = max(n, 1)
 }
 
+// crowdSafety is the number of standard deviations that the connections which
+// are open by chance stay below those that the upstream accepts.
+const crowdSafety = 3
+
+// SetUsers sets how many connections the upstream accepts, and how many daemons
+// use it. Where there are more of these they take turns: each has a connection
+// for a part of the time only, as else those that come last have none at all.
+func (p *Pool) SetUsers(conns, users int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// Daemons open connections independently, so the variance is about the mean.
+	room := float64(conns) - crowdSafety*math.Sqrt(float64(conns))
+	p.part = 0
+	if conns > 0 && float64(users) > room {
+		p.part = max(room, 1) / float64(users)
+	}
+}
+
 // Round returns the least time that opening a connection took, which is about
 // the round trip; 0 if none was opened yet.
 func (p *Pool) Round() time.Duration {
@@ -117,6 +139,7 @@
 // get returns an idle connection or opens one.
 func (p *Pool) get(ctx context.Context, strict bool) (*conn, error) {
 	p.mu.Lock()
+	p.note(time.Now())
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
@@ -187,6 +210,33 @@
 	c.used = time.Now()
 	c.fresh = false
 	p.idle = append(p.idle, c)
+	if p.part > 0 {
+		time.AfterFunc(p.turn(), p.yield)
+	}
+}
+
+// gapWeight is the weight of the newest gap in the typical one: about ten
+// requests tell how often they come.
+const gapWeight = 0.1
+
+// note takes in that a request came. The pool's mutex is held.
+func (p *Pool) note(now time.Time) {
+	if !p.asked.IsZero() {
+		p.gap += time.Duration(gapWeight * float64(now.Sub(p.asked)-p.gap))
+	}
+	p.asked = now
+}
+
+// turn returns how long a connection to a crowded upstream stays idle: so long
+// that on average this daemon has one for its part of the time. The pool's
+// mutex is held.
+func (p *Pool) turn() time.Duration {
+	return min(idleSpare, time.Duration(p.part*float64(p.gap)))
+}
+
+// yield leaves an upstream's room to other daemons.
+func (p *Pool) yield() {
+	p.Trim(time.Now())
 }
 
 // drop closes a connection. The pool's mutex is held.
@@ -203,8 +253,9 @@
 	defer p.mu.Unlock()
 	keep := p.idle[:0]
 	for i, c := range p.idle {
-		spare := i < len(p.idle)-1 && now.Sub(c.used) > idleSpare
-		if now.Sub(c.used) < c.most() && !spare {
+		idle := now.Sub(c.used)
+		spare := i < len(p.idle)-1 && idle > idleSpare || p.part > 0 && idle >= p.turn()
+		if idle < c.most() && !spare {
 			keep = append(keep, c)
 			continue
 		}
--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -222,6 +222,26 @@
 	is.Equal(p.open, 1)
 }
 
+// TestTurns has connections of a crowded upstream close sooner than others.
+func TestTurns(t *testing.T) {
+	tests := []struct {
+		conns, users int
+		gap, want    time.Duration // want is 0 where daemons don't take turns
+	}{
+		{conns: 0, users: 300},
+		{conns: 100, users: 70},
+		{conns: 100, users: 140, gap: time.Second, want: 500 * time.Millisecond},
+		{conns: 100, users: 140, gap: time.Minute, want: idleSpare},
+		{conns: 100, users: 700, gap: time.Second, want: 100 * time.Millisecond},
+		{conns: 8, users: 10, gap: time.Second, want: 100 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		p := &Pool{gap: tt.gap}
+		p.SetUsers(tt.conns, tt.users)
+		is.New(t).Equal(p.turn(), tt.want)
+	}
+}
+
 func TestRoomGrowsWithConnections(t *testing.T) {
 	tests := []struct{ max, open, dialing, want int }{
 		{max: 8, want: 1},
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -27,8 +27,9 @@
 
 	mu      sync.Mutex
 	members map[string]Member
-	before  []Member // those that read before this daemon does, in order
-	others  []Member // all but this daemon
+	before  []Member       // those that read before this daemon does, in order
+	others  []Member       // all but this daemon
+	counts  map[string]int // daemons by region
 }
 
 // Set takes in all members.
@@ -38,8 +39,10 @@
 	f.members = members
 	f.before = nil
 	f.others = nil
+	f.counts = make(map[string]int)
 	first := make(map[string]Member) // of each region
 	for _, m := range members {
+		f.counts[m.Region]++
 		if o, ok := first[m.Region]; !ok || rank(m.Name) < rank(o.Name) {
 			first[m.Region] = m
 		}
@@ -83,6 +86,17 @@
 	return max(len(f.members), 1)
 }
 
+// Near returns the number of daemons that use the upstreams of a region: its
+// own ones, or all if it has none.
+func (f *Fleet) Near(region string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := f.counts[region]; n > 0 {
+		return n
+	}
+	return len(f.members)
+}
+
 // unknownShare is the share of a daemon that does not know the others yet:
 // small, as there may be many.
 const unknownShare = 0.01
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -275,3 +275,12 @@
 	f.Self = Member{Name: "d", Domain: "z"}
 	is.Equal(f.Share(), 1.0/3) // its own record is on its way
 }
+
+func TestNear(t *testing.T) {
+	is := is.New(t)
+	f := &Fleet{Self: Member{Name: "a", Region: "x"}}
+	is.Equal(f.Near("x"), 0) // nobody is known
+	f.Set(map[string]Member{"a": {Name: "a", Region: "x"}, "b": {Name: "b", Region: "y"}, "c": {Name: "c", Region: "y"}})
+	is.Equal(f.Near("y"), 2)
+	is.Equal(f.Near("z"), 3) // upstreams of a region without daemons are used by all
+}
