mirror: copies pass once between failure domains, and packed

Cause: all daemons of a region copied from its first one, and whole copies of registrations travelled plain: at 300 daemons 12 MB between failure domains for one start of all, growing as the square of the fleet. Now a domain's daemons follow the domain's first, these the region's first, these the first of all; a copy of 4 KB or more is packed as one, and packed once for all that ask for it; a daemon that has to ask another one asks a near one. The first of the region is always among the three that a daemon asks, so a lost domain's first costs no more than before.

Ruled out: packing of whole answers by HTTP: ages differ, so each answer would be packed anew.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -45,8 +45,9 @@
 // A Copy is what another daemon knows.
 type Copy struct {
 	List
-	Whole bool          // Objects are all that there are
-	Age   time.Duration // since the daemon knew that this was all
+	Whole  bool          // Objects are all that there are
+	Age    time.Duration // since the daemon knew that this was all
+	Digest uint64        // of all that the daemon holds; 0 for a copy that has travelled
 }
 
 // A Topic follows one kind. Set the exported fields, then Start.
@@ -126,7 +127,7 @@
 func (t *Topic) Since(c Cursor, now time.Time) (Copy, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := Copy{List: List{Revision: t.rev}, Age: now.Sub(t.asOf)}
+	out := Copy{List: List{Revision: t.rev}, Age: now.Sub(t.asOf), Digest: t.digest}
 	if t.rev == 0 || c.Since > t.rev || c.Digest == t.digest && c.Since > 0 {
 		return out, false
 	}
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -18,9 +18,8 @@
 	Region  string
 }
 
-// A Fleet knows the daemons, and who reads the store before whom: within a
-// region all follow its first daemon, and the first daemons of the regions
-// follow the first of them all. It is safe for concurrent use. The zero value with Self set knows nobody else.
+// A Fleet knows the daemons, and who reads the store before whom. It is safe
+// for concurrent use. The zero value with Self set knows nobody else.
 type Fleet struct {
 	Self  Member
 	Seeds []Member // asked while no members are known; the names may be empty
@@ -37,37 +36,78 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.members = members
-	f.before = nil
 	f.others = nil
 	f.counts = make(map[string]int)
-	first := make(map[string]Member) // of each region
+	var t tree
 	for _, m := range members {
 		f.counts[m.Region]++
-		if o, ok := first[m.Region]; !ok || rank(m.Name) < rank(o.Name) {
-			first[m.Region] = m
-		}
+		t.add(m)
 		if m.Name != f.Self.Name {
 			f.others = append(f.others, m)
 		}
 	}
-	from := f.others
-	if first[f.Self.Region].Name == f.Self.Name {
-		from = slices.Collect(maps.Values(first))
-	} else {
-		from = slices.DeleteFunc(slices.Clone(from), func(m Member) bool { return m.Region != f.Self.Region })
+	f.before = t.before(f.Self)
+}
+
+// A tree orders the daemons for copying: within a failure domain all follow its
+// first daemon, the first ones of a region's domains follow the first of the
+// region, and those of the regions the first of them all. So a change passes
+// once between two regions, and once between two domains.
+type tree struct {
+	all     []Member
+	domains map[string]Member // the first daemon of each
+	regions map[string]Member
+}
+
+func (t *tree) add(m Member) {
+	if t.domains == nil {
+		t.domains = make(map[string]Member)
+		t.regions = make(map[string]Member)
 	}
-	self := rank(f.Self.Name)
-	for _, m := range from {
-		if rank(m.Name) < self {
-			f.before = append(f.before, m)
-		}
+	t.all = append(t.all, m)
+	if o, ok := t.domains[m.Domain]; !ok || earlier(m, o) < 0 {
+		t.domains[m.Domain] = m
+	}
+	if o, ok := t.regions[m.Region]; !ok || earlier(m, o) < 0 {
+		t.regions[m.Region] = m
+	}
+}
+
+// before returns those that a daemon may follow, the best one first.
+func (t *tree) before(self Member) []Member {
+	first := t.regions[self.Region]
+	if first.Name == self.Name {
+		return follow(slices.Collect(maps.Values(t.regions)), self)
+	}
+	if t.domains[self.Domain].Name == self.Name {
+		return follow(within(slices.Collect(maps.Values(t.domains)), self), self)
+	}
+	domain := slices.DeleteFunc(slices.Clone(t.all), func(m Member) bool { return m.Domain != self.Domain })
+	out := follow(domain, self)
+	// The first of the region comes in where those of the domain don't help.
+	if first.Domain != self.Domain && first.Name != "" {
+		out = slices.Insert(out, min(len(out), sources-1), first)
 	}
-	slices.SortFunc(f.before, func(a, b Member) int {
-		return cmp.Compare(rank(a.Name), rank(b.Name))
-	})
+	return out
+}
+
+// within returns the daemons of a daemon's region.
+func within(all []Member, self Member) []Member {
+	return slices.DeleteFunc(all, func(m Member) bool { return m.Region != self.Region })
+}
+
+// follow returns those of some daemons that come before one, in order.
+func follow(all []Member, self Member) []Member {
+	out := slices.DeleteFunc(all, func(m Member) bool { return earlier(m, self) >= 0 })
+	slices.SortFunc(out, earlier)
+	return out
+}
+
+// earlier orders daemons at random, in the same way everywhere.
+func earlier(a, b Member) int {
+	return cmp.Compare(rank(a.Name), rank(b.Name))
 }
 
-// rank orders daemons at random, in the same way everywhere.
 func rank(name string) uint64 {
 	return xxhash.Sum64String(name)
 }
@@ -143,7 +183,12 @@
 	return slices.Clone(f.before[:min(most, len(f.before))])
 }
 
-// Other returns any other daemon, or a seed while none is known.
+// draws is the number of daemons of which the nearest is asked: with it most
+// questions stay within the region, and no daemon is left out for long.
+const draws = 3
+
+// Other returns any other daemon, mostly a near one, or a seed while none is
+// known.
 func (f *Fleet) Other() (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -154,5 +199,23 @@
 	if len(from) == 0 {
 		return Member{}, false
 	}
-	return from[rand.IntN(len(from))], true
+	best := from[rand.IntN(len(from))]
+	for range draws - 1 {
+		m := from[rand.IntN(len(from))]
+		if f.near(m) > f.near(best) {
+			best = m
+		}
+	}
+	return best, true
+}
+
+// near returns how near a daemon is, in an order of its own.
+func (f *Fleet) near(m Member) int {
+	switch {
+	case m.Domain == f.Self.Domain:
+		return 2
+	case m.Region == f.Self.Region:
+		return 1
+	}
+	return 0
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -1,7 +1,8 @@
 // Package mirror copies what daemons know of the metadata store from one to
-// another. In each region the first few daemons, in an order that all agree on,
-// read the store; the others hold a call to the first of them that answers and
-// is up to date. A daemon that the store turns away learns from any other.
+// another. The first of them all, in an order that all agree on, reads the
+// store; each of the others holds a call to the first of its failure domain or
+// its region, or of the next few that answers and is up to date. A daemon that
+// the store turns away learns from any other.
 package mirror
 
 import (
@@ -11,7 +12,6 @@
 	"sync"
 	"time"
 
-	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/kern"
 	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
@@ -29,7 +29,7 @@
 	freshMost = 1600 * time.Millisecond
 )
 
-// sources is the number of daemons of a region that the others ask in turn.
+// sources is the number of daemons that another one asks in turn.
 const sources = 3
 
 // A Mirror gives out and takes in what topics hold. Set the exported fields,
@@ -107,20 +107,23 @@
 	begun := time.Now()
 	if m.behind(r.GetCursors(), begun) {
 		m.tip(r.GetFrom())
-		reply, _ := m.collect(r.GetCursors())
-		return reply, nil
+		reply, _, err := m.collect(r.GetCursors())
+		return reply, err
 	}
 	for {
 		changed := m.next()
-		reply, news := m.collect(r.GetCursors())
+		reply, news, err := m.collect(r.GetCursors())
+		if err != nil {
+			return nil, err
+		}
 		if news || m.confirmed(begun) {
 			return reply, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply, _ = m.collect(r.GetCursors())
-			return reply, nil
+			reply, _, err = m.collect(r.GetCursors())
+			return reply, err
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -162,7 +165,7 @@
 }
 
 // collect returns what has changed, and whether anything has.
-func (m *Mirror) collect(cursors []*rpc.Cursor) (*rpc.ChangesReply, bool) {
+func (m *Mirror) collect(cursors []*rpc.Cursor) (*rpc.ChangesReply, bool, error) {
 	reply := &rpc.ChangesReply{}
 	news := false
 	now := time.Now()
@@ -173,9 +176,13 @@
 		}
 		part, more := t.Since(feed.Cursor{Since: c.GetSince(), Digest: c.GetDigest()}, now)
 		news = news || more
-		reply.Copies = append(reply.Copies, m.encode(t.Name, part))
+		copied, err := m.packer.encode(t.Name, part, c.GetSince())
+		if err != nil {
+			return nil, false, err
+		}
+		reply.Copies = append(reply.Copies, copied)
 	}
-	return reply, news
+	return reply, news, nil
 }
 
 func (m *Mirror) topic(name string) *feed.Topic {
@@ -219,25 +226,8 @@
 	return fresh, nil
 }
 
-func (m *Mirror) encode(topic string, c feed.Copy) *rpc.Copy {
-	out := &rpc.Copy{Topic: topic, Whole: c.Whole, Revision: c.Revision, Age: uint32(c.Age.Milliseconds())}
-	for _, o := range c.Objects {
-		out.Objects = append(out.Objects, m.packer.encode(o))
-	}
-	return out
-}
-
-func decode(c *rpc.Copy) (feed.Copy, error) {
-	out := feed.Copy{Whole: c.GetWhole(), Age: time.Duration(c.GetAge()) * time.Millisecond}
-	out.Revision = c.GetRevision()
-	for _, o := range c.GetObjects() {
-		object, err := unpack(o)
-		if err != nil {
-			return feed.Copy{}, fault.Wrap(err, "unpack", o.GetName())
-		}
-		out.Objects = append(out.Objects, object)
-	}
-	return out, nil
+func milliseconds(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
 }
 
 // A follower copies from the daemons that read the store before this one.
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -2,48 +2,95 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"bronzedoor.dev/bronzedoor/internal/feed"
 )
 
+// registrations returns a copy with so many objects that are much alike.
+func registrations(n int) feed.Copy {
+	c := feed.Copy{Whole: true, Age: 20 * time.Millisecond}
+	c.Revision = uint64(n)
+	for i := range n {
+		name := fmt.Sprint("upstream", i)
+		c.Objects = append(c.Objects, feed.Object{Name: name, Revision: uint64(i), Body: fmt.Appendf(nil, registration, name, i%90, i%3, i%7, i, 977*i, 1000*i)})
+	}
+	return c
+}
+
 func TestPack(t *testing.T) {
+	long := registrations(0)
+	long.Objects = []feed.Object{{Name: "o", Revision: 3, Body: bytes.Repeat([]byte(`{"Name":"r-1","Host":"h.example"}`), 1000)}}
 	tests := []struct {
 		name   string
-		body   []byte
+		copy   feed.Copy
 		packed bool
 	}{
-		{name: "small", body: []byte(`{"a":1}`)},
-		{name: "a thousand routes", body: bytes.Repeat([]byte(`{"Name":"r-1","Host":"h.example"}`), 1000), packed: true},
+		{name: "small", copy: registrations(2)},
+		{name: "a thousand routes", copy: long, packed: true},
+		{name: "two hundred registrations", copy: registrations(200), packed: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var p packer
-			o := feed.Object{Name: "o", Revision: 3, Body: tt.body}
-			sent := p.encode(o)
-			is.Equal(sent.GetPacked(), tt.packed)
+			c := tt.copy
+			sent, err := p.encode("t", c, 0)
+			is.NoErr(err)
+			is.Equal(len(sent.GetPacked()) > 0, tt.packed)
 			if tt.packed {
-				is.True(len(sent.GetBody()) < len(tt.body)/10)
+				is.Equal(len(sent.GetObjects()), 0)
+				is.True(len(sent.GetPacked()) < volume(c.Objects)/5)
 			}
-			got, err := unpack(sent)
+			got, err := decode(sent)
 			is.NoErr(err)
-			is.Equal(got, o)
-			o.Revision, o.Body = 4, append([]byte("x"), tt.body...)
-			got, err = unpack(p.encode(o))
-			is.NoErr(err)
-			is.Equal(got, o)
+			is.Equal(got, c)
 		})
 	}
 }
 
+// TestPackedAgain has what changes between two calls: each is answered with
+// what it asks for, and not with what an earlier one was told.
+func TestPackedAgain(t *testing.T) {
+	is := is.New(t)
+	var p packer
+	whole := registrations(200)
+	part := whole
+	part.Whole = false
+	part.Objects = whole.Objects[100:]
+	other := registrations(200)
+	other.Digest = 1 // it missed a change, at the same revision
+	other.Objects = other.Objects[:150]
+	tests := []struct {
+		copy  feed.Copy
+		since uint64
+	}{
+		{copy: whole, since: 0},
+		{copy: part, since: 99},
+		{copy: whole, since: 200},
+		{copy: other, since: 0},
+		{copy: other, since: 0},
+	}
+	for _, tt := range tests {
+		sent, err := p.encode("t", tt.copy, tt.since)
+		is.NoErr(err)
+		got, err := decode(sent)
+		is.NoErr(err)
+		got.Digest = tt.copy.Digest
+		is.Equal(got, tt.copy)
+	}
+}
+
 func TestUnpackDamaged(t *testing.T) {
 	is := is.New(t)
 	var p packer
-	sent := p.encode(feed.Object{Name: "o", Revision: 3, Body: bytes.Repeat([]byte("abcdefgh"), 1000)})
-	sent.Body = sent.Body[:len(sent.Body)/2]
-	_, err := unpack(sent)
+	sent, err := p.encode("t", registrations(200), 0)
+	is.NoErr(err)
+	sent.Packed = sent.Packed[:len(sent.Packed)/2]
+	_, err = decode(sent)
 	is.True(err != nil)
 }
