flow: counters of what was sent, by service and result

Counted now: what was sent to upstreams by service and result, and the time that it took there. Ruled out: histograms by service: 14 series for each of 90 shards, where two sums give the mean.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -207,6 +207,7 @@
 	for _, g := range f.all() {
 		if len(v.Services[g.name]) == 0 {
 			g.update(f, nil, route.Service{}, share)
+			f.Meter.forget(g.name)
 		}
 	}
 }
--- a/internal/flow/meter.go
+++ b/internal/flow/meter.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"bronzedoor.dev/bronzedoor/internal/link"
 )
 
 // A Meter counts what a Flow does. Use NewMeter to make one; a nil Meter
@@ -12,6 +14,8 @@
 	answers *prometheus.CounterVec
 	seconds *prometheus.HistogramVec
 	missed  *prometheus.CounterVec
+	sent    *prometheus.CounterVec
+	busy    *prometheus.CounterVec
 }
 
 // NewMeter returns a meter that is registered.
@@ -31,7 +35,15 @@
 			Help: "Shards left out of successful answers, by rank of the route.",
 		}, []string{"rank"}),
 	}
-	r.MustRegister(m.answers, m.seconds, m.missed)
+	m.sent = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzedoor_sent_total",
+		Help: "Requests sent to upstreams, by service and result.",
+	}, []string{"service", "result"})
+	m.busy = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzedoor_sent_seconds_total",
+		Help: "Time that requests spent at upstreams and on the way, by service.",
+	}, []string{"service"})
+	r.MustRegister(m.answers, m.seconds, m.missed, m.sent, m.busy)
 	return m
 }
 
@@ -50,3 +62,23 @@
 		m.missed.WithLabelValues(rank).Add(float64(a.Missed))
 	}
 }
+
+// reply counts what came of a request to a service's upstream.
+func (m *Meter) reply(service string, result link.Result, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.sent.WithLabelValues(service, result.String()).Inc()
+	m.busy.WithLabelValues(service).Add(took.Seconds())
+}
+
+// forget drops the counters of a service that is gone: services come and go
+// with each cut of an index into shards.
+func (m *Meter) forget(service string) {
+	if m == nil {
+		return
+	}
+	labels := prometheus.Labels{"service": service}
+	m.sent.DeletePartialMatch(labels)
+	m.busy.DeletePartialMatch(labels)
+}
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -157,6 +157,7 @@
 	now := time.Now()
 	t.rep.End(begun)
 	t.learn(now, now.Sub(begun), re, st)
+	t.flow.Meter.reply(t.group.name, re.Result, now.Sub(begun))
 	t.group.line.wake()
 	return re
 }
