--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"bronzedoor.dev/bronzedoor/internal/feed"
+	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
 )
 
 // registrations returns a copy with so many objects that are much alike.
@@ -94,3 +96,35 @@
 	_, err = decode(sent)
 	is.True(err != nil)
 }
+
+// FuzzCopy decodes whatever another daemon may have sent: what is taken can be
+// sent on, and arrives the same.
+func FuzzCopy(f *testing.F) {
+	var p packer
+	for _, c := range []feed.Copy{registrations(2), registrations(200)} {
+		sent, err := p.encode("t", c, 0)
+		is.New(f).NoErr(err)
+		b, err := proto.Marshal(sent)
+		is.New(f).NoErr(err)
+		f.Add(b)
+	}
+	f.Add([]byte{0x32, 0x01, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var c rpc.Copy
+		if proto.Unmarshal(b, &c) != nil {
+			return
+		}
+		got, err := decode(&c)
+		if err != nil {
+			return
+		}
+		var p packer
+		sent, err := p.encode(c.GetTopic(), got, 0)
+		if err != nil {
+			return
+		}
+		again, err := decode(sent)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(again, got)
+	})
+}
