--- a/internal/fakes/replica.go
+++ b/internal/fakes/replica.go
@@ -38,6 +38,7 @@
 	Queue int // requests that wait
 	Conns int // connections; above it they are reset; 0 sets no bound
 	Body  string
+	Note  func(id string) // told of each request that comes; may be nil
 
 	mu     sync.Mutex
 	nature Nurture
@@ -148,6 +149,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if p.Note != nil {
+		p.Note(id)
+	}
 	n, away := p.enter()
 	if away {
 		w.Header().Set(replicaUnrun, "1")
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -79,9 +79,9 @@
 	Region string
 	Codec  *link.Codec
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
-	Share  func() float64          // this daemon's part of the limits that all share, from 0 to 1
-	Near   func(region string) int // daemons that use the upstreams of a region; nil if that is unknown
-	Memory int64                   // bytes that the process may use; 0 sets no bound
+	Share  func() float64        // this daemon's part of the limits that all share, from 0 to 1
+	Crowd  func() map[string]int // daemons by region; nil if that is unknown
+	Memory int64                 // bytes that the process may use; 0 sets no bound
 	Log    *event.Log
 	Meter  *Meter // may be nil
 
@@ -91,6 +91,7 @@
 	stats  map[string]*stat  // by route
 	table  *route.Table
 	base   context.Context // ends when the flow stops
+	born   time.Time       // when it started
 	split  route.Splitter
 	legs   atomic.Int64 // parts of requests in work
 	duties kern.Duties
@@ -109,6 +110,7 @@
 // Start makes the flow ready to serve.
 func (f *Flow) Start(ctx context.Context) error {
 	f.base = f.duties.Begin(ctx, 1)
+	f.born = time.Now()
 	go f.loop(f.base)
 	return nil
 }
@@ -153,9 +155,7 @@
 	share := f.Share()
 	for _, g := range f.all() {
 		g.share(f.limits(), share)
-		for _, t := range g.list() {
-			t.share(f.service(g.name), share)
-		}
+		g.spread(f.service(g.name), share)
 	}
 }
 
@@ -172,8 +172,14 @@
 	return f.bounds
 }
 
-// Configure takes in a new table.
+// Configure takes in a new table. What it says of upstreams holds at once: they
+// may be known already, without their limits.
 func (f *Flow) Configure(t *route.Table) {
+	f.adopt(t)
+	f.Reshare()
+}
+
+func (f *Flow) adopt(t *route.Table) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table = t
@@ -242,11 +248,63 @@
 // request leaves is counted by others when it arrives.
 const spare = 0.85
 
+// coldWindow is the time in which the requests to a cold upstream are bounded.
+const coldWindow = time.Second
+
+// coldPart returns the part of a cold upstream's rate that all daemons use. One
+// that has just started can't know what it sent before it was killed: until
+// that no longer counts, it uses what was left over.
+func (f *Flow) coldPart(now time.Time) float64 {
+	if now.Sub(f.born) < coldWindow {
+		return 1 - spare
+	}
+	return spare
+}
+
 // share sets this daemon's part of the service's extra requests.
 func (g *group) share(b Bounds, share float64) {
 	g.extra.Set(spare*b.Ratio, spare*b.Slack*share, b.Window)
 }
 
+// spread sets this daemon's part of the limits of each upstream.
+func (g *group) spread(s route.Service, share float64) {
+	all := g.list()
+	if len(all) == 0 {
+		return
+	}
+	users := crowd(all, all[0].flow.crowd())
+	for _, t := range all {
+		t.share(s, share, users[t.up.Region])
+	}
+}
+
+// crowd returns how many daemons use the upstreams of each region: its own
+// ones, and those of regions that have none, which may come to any.
+func crowd(all []*target, daemons map[string]int) map[string]int {
+	users := make(map[string]int)
+	for _, t := range all {
+		users[t.up.Region] = daemons[t.up.Region]
+	}
+	strangers := 0
+	for region, n := range daemons {
+		if _, ok := users[region]; !ok {
+			strangers += n
+		}
+	}
+	for region := range users {
+		users[region] += strangers
+	}
+	return users
+}
+
+// crowd returns the number of daemons by region.
+func (f *Flow) crowd() map[string]int {
+	if f.Crowd == nil {
+		return nil
+	}
+	return f.Crowd()
+}
+
 func (g *group) list() []*target {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -263,7 +321,6 @@
 			t = newTarget(f, g, u)
 		}
 		t.rep.SetCold(u.ColdTill)
-		t.share(s, share)
 		next = append(next, t)
 	}
 	var gone []*target
@@ -274,6 +331,7 @@
 	}
 	g.targets = next
 	g.mu.Unlock()
+	g.spread(s, share)
 	for _, t := range gone {
 		t.close()
 	}
--- a/internal/flow/leg.go
+++ b/internal/flow/leg.go
@@ -52,11 +52,15 @@
 	leg    *leg
 	target *target
 	begun  time.Time
+	cold   bool // it counts against the rate of a cold upstream
 	extra  bool
 }
 
 func (t *attempt) run(ctx context.Context) {
 	re := t.target.send(ctx, t.leg.request, t.leg.stat, t.begun)
+	if t.cold {
+		t.target.cold.Done(re.Sent)
+	}
 	t.leg.replies <- sent{target: t.target, reply: re, extra: t.extra}
 }
 
@@ -168,11 +172,12 @@
 	if t == nil {
 		return false
 	}
-	if !t.allowed(now) {
+	cold, ok := t.allowed(now)
+	if !ok {
 		t.rep.End(now)
 		return false
 	}
-	l.send(ctx, t, now, false)
+	l.send(ctx, &attempt{leg: l, target: t, begun: now, cold: cold})
 	return true
 }
 
@@ -211,18 +216,22 @@
 	return false, true
 }
 
-// allowed counts a request to a cold upstream, and reports whether it may go.
-func (t *target) allowed(now time.Time) bool {
-	return !t.rep.Cold(now) || t.cold.Take(now)
+// allowed reports whether the upstream is cold, and whether a request may go to
+// it. One that may go to a cold upstream is counted.
+func (t *target) allowed(now time.Time) (cold, ok bool) {
+	if !t.rep.Cold(now) {
+		return false, true
+	}
+	return true, t.cold.Take(now)
 }
 
 // send sends the request to an upstream that has counted it in.
-func (l *leg) send(ctx context.Context, t *target, begun time.Time, extra bool) {
-	l.tried = append(l.tried, t)
+func (l *leg) send(ctx context.Context, t *attempt) {
+	l.tried = append(l.tried, t.target)
 	l.runs++
 	l.sends++
 	l.flying++
-	go (&attempt{leg: l, target: t, begun: begun, extra: extra}).run(ctx)
+	go t.run(ctx)
 }
 
 // take takes in a reply, and reports whether it ends the leg.
@@ -290,8 +299,12 @@
 		return false
 	}
 	free = free && l.sends == 0
-	if !t.allowed(now) || !free && !l.group.extra.Take(now) {
+	cold, ok := t.allowed(now)
+	if !ok || !free && !l.group.extra.Take(now) {
 		t.rep.End(now)
+		if cold && ok {
+			t.cold.Done(time.Time{})
+		}
 		if !l.poor {
 			l.trace.note(l.index, "budget")
 		}
@@ -299,7 +312,7 @@
 		return false
 	}
 	l.trace.note(l.index, "again "+t.up.ID)
-	l.send(ctx, t, now, !free)
+	l.send(ctx, &attempt{leg: l, target: t, begun: now, cold: cold, extra: !free})
 	return true
 }
 
--- a/internal/flow/target.go
+++ b/internal/flow/target.go
@@ -47,20 +47,19 @@
 // after them and can still be in time.
 const lateRounds = 2
 
-// share sets this daemon's part of the upstream's limits.
-func (t *target) share(s route.Service, share float64) {
+// share sets this daemon's part of the limits of an upstream that so many
+// daemons use.
+func (t *target) share(s route.Service, share float64, users int) {
 	if s.Conns > 0 {
 		t.pool.SetMax(int(float64(s.Conns) * share))
 	} else {
 		t.pool.SetMax(t.up.Slots)
 	}
-	if t.flow.Near != nil {
-		t.pool.SetUsers(s.Conns, t.flow.Near(t.up.Region))
-	}
+	t.pool.SetUsers(s.Conns, users)
 	b := t.flow.limits()
 	allowed := -1.0
 	if s.ColdRate > 0 {
-		allowed = spare * (s.ColdRate*b.ColdTimes + b.ColdSlack) * share
+		allowed = t.flow.coldPart(time.Now()) * (s.ColdRate*b.ColdTimes + b.ColdSlack) * share
 	}
 	t.cold.Set(allowed)
 	t.lateRoom.Store(int32(lateRounds * float64(t.up.Slots) * share))
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -215,3 +215,22 @@
 	is.True(b.Spend())
 	is.True(!b.Spend()) // no more than the burst is saved
 }
+
+// TestRateCountsWhatWaits has requests wait for their connection: they count
+// until a second after they were sent. When they counted from the moment at
+// which they were let in, as many came behind them, and all arrived together.
+func TestRateCountsWhatWaits(t *testing.T) {
+	is := is.New(t)
+	var r Rate
+	r.Set(2)
+	now := time.Now()
+	is.True(r.Take(now))
+	is.True(r.Take(now))
+	now = now.Add(1500 * time.Millisecond)
+	is.True(!r.Take(now)) // both may be sent at any moment
+	r.Done(now)
+	r.Done(time.Time{}) // its connection could not be opened
+	is.True(r.Take(now.Add(900 * time.Millisecond)))
+	is.True(!r.Take(now.Add(950 * time.Millisecond)))
+	is.True(r.Take(now.Add(1100 * time.Millisecond)))
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -51,6 +51,7 @@
 	Proof  string        // the upstream's proof of its answer; may be empty
 	Cold   time.Duration // how much longer the upstream says it is cold; 0 if it doesn't
 	Over   bool          // a new connection was broken off: the upstream has too many
+	Sent   time.Time     // when the request was written; zero if it wasn't
 	Err    error         // why there is no answer
 }
 
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -105,7 +105,11 @@
 		return Reply{Result: Unsent, Err: err}
 	}
 	fresh := c.fresh
+	sent := time.Now()
 	re, again := c.exchange(ctx, p.Codec, pl, p.ID, time.Until(due))
+	if re.Result != Unsent {
+		re.Sent = sent
+	}
 	if fresh && re.Result == Unknown && ctx.Err() == nil {
 		re.Over = true
 		p.tighten()
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -126,15 +126,11 @@
 	return max(len(f.members), 1)
 }
 
-// Near returns the number of daemons that use the upstreams of a region: its
-// own ones, or all if it has none.
-func (f *Fleet) Near(region string) int {
+// Crowd returns the number of daemons by region. It must not be changed.
+func (f *Fleet) Crowd() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n := f.counts[region]; n > 0 {
-		return n
-	}
-	return len(f.members)
+	return f.counts
 }
 
 // unknownShare is the share of a daemon that does not know the others yet:
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -276,11 +276,10 @@
 	is.Equal(f.Share(), 1.0/3) // its own record is on its way
 }
 
-func TestNear(t *testing.T) {
+func TestCounts(t *testing.T) {
 	is := is.New(t)
 	f := &Fleet{Self: Member{Name: "a", Region: "x"}}
-	is.Equal(f.Near("x"), 0) // nobody is known
+	is.Equal(len(f.Crowd()), 0) // nobody is known
 	f.Set(map[string]Member{"a": {Name: "a", Region: "x"}, "b": {Name: "b", Region: "y"}, "c": {Name: "c", Region: "y"}})
-	is.Equal(f.Near("y"), 2)
-	is.Equal(f.Near("z"), 3) // upstreams of a region without daemons are used by all
+	is.Equal(f.Crowd(), map[string]int{"x": 1, "y": 2})
 }
--- /dev/null
+++ b/internal/tier/fleet_test.go
@@ -0,0 +1,288 @@
+package tier
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/fakes"
+	"bronzedoor.dev/bronzedoor/internal/flow"
+	"bronzedoor.dev/bronzedoor/internal/link"
+)
+
+// Days of drawn sites can be played by hand:
+// go test ./internal/tier -run TestFleet -fleet.seeds 200 -fleet.from 1000
+var (
+	fleetSeeds = flag.Int("fleet.seeds", 12, "drawn sites to play")
+	fleetFrom  = flag.Uint64("fleet.from", 1, "first seed of them")
+	fleetLog   = flag.String("fleet.log", "", "file for the daemons' log lines")
+)
+
+// Times of a day.
+const (
+	fleetWarm  = 5 * time.Second  // before the faults; includes a start of all daemons
+	fleetBad   = 14 * time.Second // faults
+	fleetGood  = 14 * time.Second // after them
+	fleetTail  = 4 * time.Second  // of which so much shows whether service is back
+	fleetShare = 0.9              // of requests are served then
+)
+
+// TestFleet plays days of faults on sites that are drawn, so that nothing holds
+// only for the sizes of a known one.
+func TestFleet(t *testing.T) {
+	log := io.Discard
+	if *fleetLog != "" {
+		f, err := os.Create(*fleetLog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		log = f
+	}
+	for seed := *fleetFrom; seed < *fleetFrom+uint64(*fleetSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			p := drawPlan(rand.New(rand.NewPCG(seed, 1)))
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, p, seed, log)
+				s.play()
+			})
+		})
+	}
+}
+
+// play plays the day and judges it.
+func (s *site) play() {
+	ctx, cancel := context.WithCancel(context.Background())
+	go s.load(ctx)
+	time.Sleep(fleetWarm)
+	var told []string
+	for until := time.Now().Add(fleetBad); time.Now().Before(until); {
+		told = append(told, s.fault())
+		time.Sleep(time.Duration(300+s.rnd.IntN(1200)) * time.Millisecond)
+	}
+	s.heal()
+	calm := time.Now()
+	time.Sleep(fleetGood)
+	cancel()
+	time.Sleep(2 * siteDue)
+	s.t.Logf("%v: %s", s.plan, s.judge.tally())
+	broken := s.judge.broken(s, calm)
+	if share := s.judge.served(calm.Add(fleetGood - fleetTail)); share < fleetShare {
+		broken = append(broken, fmt.Sprintf("%.3f are served after all faults", share))
+	}
+	if len(broken) > 0 {
+		s.t.Logf("faults: %q", told)
+	}
+	for _, b := range broken {
+		s.t.Error(b)
+	}
+	s.end()
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// loadMost bounds the requests a second, so that a day is played in seconds.
+const loadMost = 100
+
+// load sends requests at random times, whatever becomes of them.
+func (s *site) load(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(uint64(s.number), 5))
+	bears := float64(s.plan.replicas*s.slots) / s.work.Seconds()
+	rate := min(s.plan.load*bears, loadMost)
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))):
+		}
+		// A caller is sent to a daemon of its domain that is ready, if there is one.
+		u := s.ready(s.domain(rnd.IntN(s.domains)), rnd)
+		if u == nil {
+			continue
+		}
+		if t := u.now(); t != nil {
+			go (&caller{unit: u, tier: t, id: fmt.Sprint("q", n), path: one(rnd, "/all/", "/all/", "/read/", "/write/")}).run()
+		}
+	}
+}
+
+func (s *site) ready(domain string, rnd *rand.Rand) *unit {
+	var near, all []*unit
+	for _, u := range s.units {
+		if t := u.now(); t == nil || !t.Ready() {
+			continue
+		}
+		all = append(all, u)
+		if u.settings.Domain == domain {
+			near = append(near, u)
+		}
+	}
+	if len(near) > 0 {
+		return one(rnd, near...)
+	}
+	if len(all) > 0 {
+		return one(rnd, all...)
+	}
+	return nil
+}
+
+// A caller sends one request.
+type caller struct {
+	unit *unit
+	tier *Tier
+	id   string
+	path string
+}
+
+func (c *caller) run() {
+	table, to := c.tier.Flow.Find(siteHost, c.path)
+	a := c.unit.site.judge.ask(c.id, c.path)
+	now := time.Now()
+	got := c.tier.Flow.Serve(context.Background(), &flow.Request{
+		Payload: &link.Payload{ID: c.id, Method: "GET", Target: c.path, Host: siteHost},
+		Table:   table,
+		Route:   to,
+		Arrived: now,
+		Due:     now.Add(siteDue),
+	})
+	c.unit.site.judge.answer(a, got, c.unit.now() == c.tier)
+}
+
+// fault brings one fault about, drawn by the seed, and names it.
+func (s *site) fault() string {
+	u := one(s.rnd, s.units...)
+	service := one(s.rnd, s.services()...)
+	i := s.rnd.IntN(len(s.all(service)))
+	after := time.Duration(200+s.rnd.IntN(2500)) * time.Millisecond
+	switch s.rnd.IntN(13) {
+	case 0:
+		u.kill()
+		time.AfterFunc(after, u.start)
+		return "kill " + u.settings.Name
+	case 1:
+		for _, u := range s.units {
+			u.kill()
+		}
+		time.Sleep(after)
+		for _, u := range s.units {
+			u.start()
+		}
+		return "kill all"
+	case 2:
+		s.depot.fail(true, 0)
+		return "store away"
+	case 3:
+		s.depot.fail(false, 300*time.Millisecond)
+		return "store slow"
+	case 4:
+		var names []string
+		for _, u := range s.units {
+			if s.rnd.IntN(2) == 0 {
+				names = append(names, u.settings.Name)
+			}
+		}
+		s.depot.fail(false, 0, names...)
+		return fmt.Sprint("store refuses ", names)
+	case 5:
+		s.depot.forget()
+		return "store forgets"
+	case 6:
+		hit := s.some(service, i)
+		for _, at := range hit {
+			s.lose(at.service, at.index)
+			time.AfterFunc(after, func() { s.add(at.service, at.index, true) })
+		}
+		return fmt.Sprint("lost for ", after, " ", hit)
+	case 7:
+		n := one(s.rnd, fakes.Nurture{Silent: true}, fakes.Nurture{Shed: 0.7}, fakes.Nurture{Fail: 0.5}, fakes.Nurture{Reset: true}, fakes.Nurture{Work: 10 * s.work})
+		n.Work = max(n.Work, s.work)
+		hit := s.some(service, i)
+		for _, at := range hit {
+			s.all(at.service)[at.index].Set(n)
+		}
+		time.AfterFunc(2*after, func() {
+			for _, at := range hit {
+				s.all(at.service)[at.index].Set(fakes.Nurture{Work: s.work})
+			}
+		})
+		return fmt.Sprintf("for %v %+v %v", 2*after, n, hit)
+	case 8:
+		s.drain(service, i)
+		return fmt.Sprint("drain ", service, i)
+	case 9:
+		s.depot.heal()
+		return "store back"
+	case 10:
+		s.configure()
+		return "configuration"
+	case 11:
+		s.net.Cut(func(from, to string) bool { return from == u.settings.Peer || to == u.settings.Peer })
+		time.AfterFunc(after, func() { s.net.Cut(nil) })
+		return "cut " + u.settings.Name
+	default:
+		d := s.domain(s.rnd.IntN(s.domains))
+		for _, u := range s.units {
+			if u.settings.Domain == d {
+				u.kill()
+				time.AfterFunc(after, u.start)
+			}
+		}
+		return "kill domain " + d
+	}
+}
+
+// A spot is a replica: the index-th one of a service.
+type spot struct {
+	service string
+	index   int
+}
+
+// some returns one replica, all of its service, or one of each service.
+func (s *site) some(service string, i int) []spot {
+	var out []spot
+	switch s.rnd.IntN(3) {
+	case 0:
+		return []spot{{service, i}}
+	case 1:
+		for k := range s.all(service) {
+			out = append(out, spot{service, k})
+		}
+	default:
+		for _, name := range s.services() {
+			out = append(out, spot{name, i % len(s.all(name))})
+		}
+	}
+	return out
+}
+
+// drain takes a replica out of use for good, and puts another in its place.
+func (s *site) drain(service string, i int) {
+	p := s.all(service)[i]
+	s.mu.Lock()
+	up := *s.ups[p.ID]
+	s.mu.Unlock()
+	s.add(service, i, true)
+	up.Draining = true
+	s.depot.put(depotRoster, p.ID, &up)
+	s.judge.ban(p.ID, time.Now())
+}
+
+// heal takes all faults back.
+func (s *site) heal() {
+	s.depot.heal()
+	s.net.Cut(nil)
+	for _, u := range s.units {
+		u.start()
+	}
+	for _, name := range s.services() {
+		for _, p := range s.all(name) {
+			p.Set(fakes.Nurture{Work: s.work})
+		}
+	}
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -133,7 +133,7 @@
 		Codec:  t.Codec,
 		Dial:   t.Dial,
 		Share:  t.fleet.Share,
-		Near:   t.fleet.Near,
+		Crowd:  t.fleet.Crowd,
 		Memory: t.Settings.Memory,
 		Log:    t.Log,
 		Meter:  flow.NewMeter(registry),
