--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -22,8 +22,8 @@
 	retryFirst = 100 * time.Millisecond // after a failed call, doubled up to retryMost
 	retryMost  = 800 * time.Millisecond // so that a store's return is noticed within a second
 	retryRest  = 4 * time.Second        // for daemons of which others read first
-	starters   = 2                      // daemons of a failure domain that do not wait to be told at their start
-	readers    = 2                      // daemons of a failure domain that retry often
+	starters   = 4                      // daemons of a failure domain that do not wait to be told at their start
+	readers    = 3                      // daemons of a failure domain that retry often
 )
 
 // A watcher waits for changes in the store.
