link: daemons take turns only where they are more than the connections

Cause: read again: the bound below which all keep a connection was conns - 3 sqrt(conns), which is below 0 for 8 connections: two daemons before such an upstream would have closed theirs all the time. Now turns are taken where users are more than connections, and the mean is where three deviations more are just accepted. TestTurns has 8 connections for 8 daemons; it failed before.

--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -60,14 +60,20 @@
 func (p *Pool) SetUsers(conns, users int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	// Daemons open connections independently, so the variance is about the mean.
-	room := float64(conns) - crowdSafety*math.Sqrt(float64(conns))
 	p.part = 0
-	if conns > 0 && float64(users) > room {
-		p.part = max(room, 1) / float64(users)
+	if conns > 0 && users > conns {
+		p.part = turns(conns) / float64(users)
 	}
 }
 
+// turns returns how many connections may be open on average, so that there are
+// seldom more than so many. Daemons open them independently: the variance is
+// about the mean m, and the bound is where m + crowdSafety * sqrt(m) = conns.
+func turns(conns int) float64 {
+	root := (math.Sqrt(crowdSafety*crowdSafety+4*float64(conns)) - crowdSafety) / 2
+	return root * root
+}
+
 // Round returns the least time that opening a connection took, which is about
 // the round trip; 0 if none was opened yet.
 func (p *Pool) Round() time.Duration {
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -34,7 +34,7 @@
 	others  []Member       // all but this daemon
 	counts  map[string]int // daemons by region
 	joined  time.Time      // when this daemon's record was first seen beside others; zero if it was known from the start
-	new     bool           // members are known, and this daemon's record was not among the first of them
+	fresh   bool           // members are known, and this daemon's record was not among the first of them
 }
 
 // Set takes in all members.
@@ -62,7 +62,7 @@
 	_, own := members[f.Self.Name]
 	switch {
 	case !f.known:
-		f.new = !own
+		f.fresh = !own
 	case own && f.joined.IsZero():
 		f.joined = now
 	}
@@ -180,7 +180,7 @@
 	own := max(domains[f.Self.Domain], 1)
 	domains[f.Self.Domain] = own
 	share := 1 / float64(len(domains)*own)
-	if f.new && (f.joined.IsZero() || time.Since(f.joined) < settle) {
+	if f.fresh && (f.joined.IsZero() || time.Since(f.joined) < settle) {
 		return newShare * share
 	}
 	return share
