--- a/internal/link/pool_test.go
+++ b/internal/link/pool_test.go
@@ -228,9 +228,9 @@
 		conns, users int
 		gap, want    time.Duration // want is 0 where daemons don't take turns
 	}{
-		{conns: 0, users: 300},
-		{conns: 40, users: 40},
-		{conns: 8, users: 8}, // a few connections are enough for as many daemons
+		{conns: 0, users: 300, gap: time.Second},
+		{conns: 40, users: 40, gap: time.Second},
+		{conns: 8, users: 8, gap: time.Second}, // a few connections are enough for as many daemons
 		{conns: 40, users: 50, gap: time.Second, want: 500 * time.Millisecond},
 		{conns: 40, users: 50, gap: time.Minute, want: idleSpare},
 		{conns: 40, users: 250, gap: time.Second, want: 100 * time.Millisecond},
