mirror: a new daemon takes its part at once again

Cause: wrote a daemon's record only after it had read the others', and let a fleet without records count as known, to tell a new daemon from a restarted one. Ruled out for now: to tell the two apart by who wrote first, as the record is written before the first read.

--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -6,11 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"bronzedoor.dev/bronzedoor/internal/feed"
 )
 
 // A Member is a daemon of the fleet.
@@ -28,21 +25,16 @@
 	Seeds []Member // asked while no members are known; the names may be empty
 
 	mu      sync.Mutex
-	known   bool // the members were told, if there were none
 	members map[string]Member
 	before  []Member       // those that read before this daemon does, in order
 	others  []Member       // all but this daemon
 	counts  map[string]int // daemons by region
-	joined  time.Time      // when this daemon's record was first seen beside others; zero if it was known from the start
-	fresh   bool           // members are known, and this daemon's record was not among the first of them
 }
 
 // Set takes in all members.
 func (f *Fleet) Set(members map[string]Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.note(members, time.Now())
-	f.known = true
 	f.members = members
 	f.others = nil
 	f.counts = make(map[string]int)
@@ -57,17 +49,6 @@
 	f.before = t.before(f.Self)
 }
 
-// note takes in when others can know this daemon's record. The mutex is held.
-func (f *Fleet) note(members map[string]Member, now time.Time) {
-	_, own := members[f.Self.Name]
-	switch {
-	case !f.known:
-		f.fresh = !own
-	case own && f.joined.IsZero():
-		f.joined = now
-	}
-}
-
 // A tree orders the daemons for copying: within a failure domain all follow its
 // first daemon, the first ones of a region's domains follow the first of the
 // region, and those of the regions the first of them all. So a change passes
@@ -156,13 +137,6 @@
 // small, as there may be many.
 const unknownShare = 0.01
 
-// A new daemon shares what the others leave over, until they know of it and
-// have made room.
-const (
-	newShare = 0.15                     // of its later part
-	settle   = feed.Stale + time.Second // members are read once in 1.2 s, or after feed.Stale where their reader is lost
-)
-
 // Share returns this daemon's part of what the fleet shares, from 0 to 1.
 // Callers come to the failure domains alike and within one to its daemons, so
 // a daemon that is alone in its domain has more to do than one of many.
@@ -179,18 +153,14 @@
 	// A daemon whose own record is still on its way counts itself.
 	own := max(domains[f.Self.Domain], 1)
 	domains[f.Self.Domain] = own
-	share := 1 / float64(len(domains)*own)
-	if f.fresh && (f.joined.IsZero() || time.Since(f.joined) < settle) {
-		return newShare * share
-	}
-	return share
+	return 1 / float64(len(domains)*own)
 }
 
-// Known reports whether the members are known, of which there may be none yet.
+// Known reports whether any members are known.
 func (f *Fleet) Known() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.known
+	return len(f.members) > 0
 }
 
 // Missing reports whether other daemons are known and this one's own record is
--- a/internal/tier/join.go
+++ b/internal/tier/join.go
@@ -16,14 +16,12 @@
 	// defaultLease is how long a record lasts that is not renewed. At 1,200
 	// daemons, renewals three times as often are 0.7 writes a second.
 	defaultLease = 90 * time.Minute
-	renewals     = 3                      // renewals in a lease: one may be lost
-	joinRetry    = 2 * time.Second        // between two tries to write the record
-	joinLook     = 2 * time.Second        // between two looks whether it is still there
-	missingMost  = 10 * time.Second       // a record that was written is seen by then
-	joinWait     = 500 * time.Millisecond // for the others' records, before it is first written
-	knownLook    = 20 * time.Millisecond  // between two looks for them
-	reapLooks    = 30                     // looks for expired records in a lease
-	reapMost     = 20                     // records removed at one look, to spare the store
+	renewals     = 3                // renewals in a lease: one may be lost
+	joinRetry    = 2 * time.Second  // between two tries to write the record
+	joinLook     = 2 * time.Second  // between two looks whether it is still there
+	missingMost  = 10 * time.Second // a record that was written is seen by then
+	reapLooks    = 30               // looks for expired records in a lease
+	reapMost     = 20               // records removed at one look, to spare the store
 )
 
 // lease returns how long a daemon's record lasts.
@@ -42,7 +40,6 @@
 // loop writes the record at the start, and again when its renewal is due or
 // when it has been removed.
 func (j *joiner) loop(ctx context.Context) {
-	j.listen(ctx)
 	for term := 0; ctx.Err() == nil; {
 		err := j.tier.Source.Join(ctx, j.tier.fleet.Self, term)
 		if err != nil {
@@ -55,17 +52,6 @@
 	}
 }
 
-// listen waits for the others' records: whether this daemon's own is among them
-// tells whether they know of it.
-func (j *joiner) listen(ctx context.Context) {
-	begun := time.Now()
-	for j.tier.reaper.known() == 0 && time.Since(begun) < joinWait {
-		if !pace.Sleep(ctx, knownLook) {
-			return
-		}
-	}
-}
-
 // rest waits until the record is to be written again.
 func (j *joiner) rest(ctx context.Context) {
 	written := time.Now()
@@ -82,9 +68,8 @@
 // of what daemons share would shrink with each VM that is ever replaced. One
 // daemon does so, the one that reads the store before all others.
 type reaper struct {
-	tier  *Tier
-	age   func(now time.Time) time.Duration // of what is known of the records
-	known func() uint64                     // revision up to which they are known
+	tier *Tier
+	age  func(now time.Time) time.Duration // of what is known of the records
 
 	mu     sync.Mutex
 	leases mirror.Leases
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -176,7 +176,6 @@
 	}
 	t.mirror.Topics = topics
 	t.reaper.age = topics[0].Age
-	t.reaper.known = topics[0].Revision
 	services := []named{{serviceFlow, t.Flow}, worker(serviceJoin, (&joiner{tier: t}).loop), worker(serviceReap, t.reaper.loop)}
 	for _, topic := range topics {
 		services = append(services, named{topic.Name, topic})
