flow: daemons and users are called so

Cause: 'crowd' was the daemons of a region in one place and those that use an upstream in another; they are called daemons and users.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -75,15 +75,15 @@
 
 // A Flow serves requests. Set the exported fields, then Start.
 type Flow struct {
-	Domain string // failure domain of this daemon
-	Region string
-	Codec  *link.Codec
-	Dial   func(ctx context.Context, address string) (net.Conn, error)
-	Share  func() float64        // this daemon's part of the limits that all share, from 0 to 1
-	Crowd  func() map[string]int // daemons by region; nil if that is unknown
-	Memory int64                 // bytes that the process may use; 0 sets no bound
-	Log    *event.Log
-	Meter  *Meter // may be nil
+	Domain  string // failure domain of this daemon
+	Region  string
+	Codec   *link.Codec
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	Share   func() float64        // this daemon's part of the limits that all share, from 0 to 1
+	Daemons func() map[string]int // daemons by region; nil if that is unknown
+	Memory  int64                 // bytes that the process may use; 0 sets no bound
+	Log     *event.Log
+	Meter   *Meter // may be nil
 
 	mu     sync.Mutex
 	bounds Bounds
@@ -272,37 +272,37 @@
 	if len(all) == 0 {
 		return
 	}
-	users := crowd(all, all[0].flow.crowd())
+	near := users(all, all[0].flow.daemons())
 	for _, t := range all {
-		t.share(s, share, users[t.up.Region])
+		t.share(s, share, near[t.up.Region])
 	}
 }
 
-// crowd returns how many daemons use the upstreams of each region: its own
+// users returns how many daemons use the upstreams of each region: its own
 // ones, and those of regions that have none, which may come to any.
-func crowd(all []*target, daemons map[string]int) map[string]int {
-	users := make(map[string]int)
+func users(all []*target, daemons map[string]int) map[string]int {
+	out := make(map[string]int)
 	for _, t := range all {
-		users[t.up.Region] = daemons[t.up.Region]
+		out[t.up.Region] = daemons[t.up.Region]
 	}
 	strangers := 0
 	for region, n := range daemons {
-		if _, ok := users[region]; !ok {
+		if _, ok := out[region]; !ok {
 			strangers += n
 		}
 	}
-	for region := range users {
-		users[region] += strangers
+	for region := range out {
+		out[region] += strangers
 	}
-	return users
+	return out
 }
 
-// crowd returns the number of daemons by region.
-func (f *Flow) crowd() map[string]int {
-	if f.Crowd == nil {
+// daemons returns the number of daemons by region.
+func (f *Flow) daemons() map[string]int {
+	if f.Daemons == nil {
 		return nil
 	}
-	return f.Crowd()
+	return f.Daemons()
 }
 
 func (g *group) list() []*target {
--- a/internal/mirror/fleet.go
+++ b/internal/mirror/fleet.go
@@ -126,8 +126,8 @@
 	return max(len(f.members), 1)
 }
 
-// Crowd returns the number of daemons by region. It must not be changed.
-func (f *Fleet) Crowd() map[string]int {
+// Daemons returns the number of daemons by region. It must not be changed.
+func (f *Fleet) Daemons() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.counts
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -279,7 +279,7 @@
 func TestCounts(t *testing.T) {
 	is := is.New(t)
 	f := &Fleet{Self: Member{Name: "a", Region: "x"}}
-	is.Equal(len(f.Crowd()), 0) // nobody is known
+	is.Equal(len(f.Daemons()), 0) // nobody is known
 	f.Set(map[string]Member{"a": {Name: "a", Region: "x"}, "b": {Name: "b", Region: "y"}, "c": {Name: "c", Region: "y"}})
-	is.Equal(f.Crowd(), map[string]int{"x": 1, "y": 2})
+	is.Equal(f.Daemons(), map[string]int{"x": 1, "y": 2})
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -128,15 +128,15 @@
 	t.reaper = &reaper{tier: t}
 	t.roster = roster.New()
 	t.Flow = &flow.Flow{
-		Domain: t.Settings.Domain,
-		Region: t.Settings.Region,
-		Codec:  t.Codec,
-		Dial:   t.Dial,
-		Share:  t.fleet.Share,
-		Crowd:  t.fleet.Crowd,
-		Memory: t.Settings.Memory,
-		Log:    t.Log,
-		Meter:  flow.NewMeter(registry),
+		Domain:  t.Settings.Domain,
+		Region:  t.Settings.Region,
+		Codec:   t.Codec,
+		Dial:    t.Dial,
+		Share:   t.fleet.Share,
+		Daemons: t.fleet.Daemons,
+		Memory:  t.Settings.Memory,
+		Log:     t.Log,
+		Meter:   flow.NewMeter(registry),
 	}
 	t.Flow.Limit(t.Settings.Bounds)
 	t.roster.Changed = t.Flow.Update
