limit, server: ramp up a new process's part of budgets and cold rates

Cause: a process had its whole share of the retry budget at its start, although its predecessor may have used it a moment ago; and a daemon that joined took its part of a cold upstream's rate while the others still divided it without it. Change: limit.RampUp, one rule for both: a process uses 0.85 of its share once a window has passed since its start and since all others count it, and until then what accrues at 0.1 per window. That a daemon was counted before its start it learns from the conditional create of its record, which it made already, so the store gets no further call. WindowBudget no longer panics with a window of 0, counts attempts after now, and keeps what was taken when the window changes. Ruled out: a smaller slack alone (the drawn schedules exceed the limit as soon as a VM joins).

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -224,7 +224,7 @@
 func TestRateLimiterCountsPending(t *testing.T) {
 	is := is.New(t)
 	var r RateLimiter
-	r.Set(2)
+	r.Set(2/SteadyFraction, steady)
 	now := time.Now()
 	is.True(r.Take(now))
 	is.True(r.Take(now))
--- a/internal/limit/ratelimiter.go
+++ b/internal/limit/ratelimiter.go
@@ -13,16 +13,19 @@
 // admits none; call Set to configure it. It is safe for concurrent use.
 type RateLimiter struct {
 	mu        sync.Mutex
-	perSecond float64     // limit in requests; negative for no limit
+	perSecond float64 // this daemon's share of the limit in requests; negative for no limit
+	ramp      RampUp
 	pending   int         // requests admitted that may not have been sent yet
 	sent      []time.Time // send times within the last second, oldest first
 }
 
-// Set changes the limit, in requests within any second; negative for no limit.
-func (r *RateLimiter) Set(perSecond float64) {
+// Set changes this daemon's share of the limit, in requests within any second, of
+// which it uses what ramp allows. A negative value sets no limit.
+func (r *RateLimiter) Set(perSecond float64, ramp RampUp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.perSecond = perSecond
+	r.ramp = ramp
 }
 
 // Take reports whether a request is admitted. If so, Done must be called for it
@@ -61,5 +64,5 @@
 	for len(r.sent) > 0 && now.Sub(r.sent[0]) > time.Second {
 		r.sent = r.sent[1:]
 	}
-	return r.perSecond < 0 || float64(r.pending+len(r.sent)+1) <= r.perSecond
+	return r.perSecond < 0 || float64(r.pending+len(r.sent)+1) <= r.ramp.Fraction(time.Second, now)*r.perSecond
 }
--- a/internal/limit/window.go
+++ b/internal/limit/window.go
@@ -15,7 +15,8 @@
 	mu     sync.Mutex
 	ratio  float64       // extra attempts for each first attempt
 	slack  float64       // further extra attempts in each window; this daemon's share
-	window time.Duration // 0 until Set
+	window time.Duration // 0 until Set, and for a budget that allows none
+	ramp   RampUp
 	slots  [windowSlots]windowSlot
 
 	// origin is the start of interval 0. It has a monotonic clock reading, so
@@ -23,14 +24,31 @@
 	origin time.Time
 }
 
-// Set changes the limit: in each window, ratio extra attempts for each first
-// attempt, plus slack.
-func (b *WindowBudget) Set(ratio, slack float64, window time.Duration) {
+// Set changes the limit of the fleet: in each window, ratio extra attempts for each
+// first attempt, plus slack, of which this daemon's share is given. The daemon uses
+// SteadyFraction of the ratio, and of the slack what ramp allows. A window of 0 or
+// less allows no extra attempts. If the window changes, the extra attempts of the
+// old one count as made now.
+func (b *WindowBudget) Set(ratio, slack float64, window time.Duration, ramp RampUp) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	window = max(window, 0)
 	b.ratio = ratio
 	b.slack = slack
+	b.ramp = ramp
+	if window != b.window {
+		b.changeWindow(window, time.Now())
+	}
+}
+
+// changeWindow sets the window, and moves the extra attempts of the old one to the
+// interval of now, since the intervals get another length.
+func (b *WindowBudget) changeWindow(window time.Duration, now time.Time) {
+	_, extra := b.totals(now)
 	b.window = window
+	b.origin = now.Add(-2 * window)
+	clear(b.slots[:])
+	b.slotAt(now).extra = extra
 }
 
 // windowSlots is the number of intervals that are summed. A window is 20
@@ -74,32 +92,23 @@
 	}
 }
 
-// Unused returns the fraction of the window's extra attempts that is left, from
-// 0 to 1. It is 0 if less than one attempt is allowed.
-func (b *WindowBudget) Unused(now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	first, _ := b.totals(now)
-	allowed := b.ratio*float64(first) + b.slack
-	if allowed < 1 {
-		return 0
-	}
-	return max(b.available(now), 0) / allowed
-}
-
 // available returns the extra attempts that are left. It may be negative, because
 // the limit falls when first attempts leave the window.
 func (b *WindowBudget) available(now time.Time) float64 {
+	if b.window <= 0 {
+		return 0
+	}
 	first, extra := b.totals(now)
-	return b.ratio*float64(first) + b.slack - float64(extra)
+	return SteadyFraction*b.ratio*float64(first) + b.ramp.Fraction(b.window, now)*b.slack - float64(extra)
 }
 
-// totals sums the attempts in the window that ends now.
+// totals sums the attempts in the window that ends now. It includes attempts after
+// now, as the caller may have read the clock before another one that came first.
 func (b *WindowBudget) totals(now time.Time) (first, extra int) {
 	newest := b.intervalAt(now)
 	for i := range b.slots {
 		s := &b.slots[i]
-		if s.interval > newest-windowSlots && s.interval <= newest {
+		if s.interval > newest-windowSlots {
 			first += s.first
 			extra += s.extra
 		}
@@ -107,12 +116,12 @@
 	return first, extra
 }
 
-// intervalAt returns the number of the interval that contains now.
+// intervalAt returns the number of the interval that contains now, 0 at least.
 func (b *WindowBudget) intervalAt(now time.Time) int64 {
-	if b.origin.IsZero() {
-		b.origin = now.Add(-2 * b.window)
+	if b.window <= 0 {
+		return 0
 	}
-	return int64(now.Sub(b.origin) / max(b.window/(windowSlots-1), 1))
+	return max(int64(now.Sub(b.origin)/max(b.window/(windowSlots-1), 1)), 0)
 }
 
 // slotAt returns the slot for now, cleared if it held an earlier interval.
--- a/internal/limit/window_test.go
+++ b/internal/limit/window_test.go
@@ -14,6 +14,9 @@
 	extra bool
 }
 
+// steady is the ramp-up of a process that started long ago.
+var steady = RampUp{Counted: time.Unix(0, 0)}
+
 // TestWindowBudgetAcrossDaemons draws first and extra attempts of several daemons
 // that do not communicate. No window, wherever it starts, may hold more extra
 // attempts than ratio times the first attempts plus slack. First attempts are
@@ -24,13 +27,12 @@
 		ratio  = 0.2
 		slack  = 56.0
 		window = 10 * time.Second
-		share  = 0.85 // the fraction of the limit that daemons use
 	)
 	rapid.Check(t, func(t *rapid.T) {
 		daemons := rapid.IntRange(1, 8).Draw(t, "daemons")
 		budgets := make([]WindowBudget, daemons)
 		for i := range budgets {
-			budgets[i].Set(share*ratio, share*slack/float64(daemons), window)
+			budgets[i].Set(ratio, slack/float64(daemons), window, steady)
 		}
 		var sent []sentRequest
 		base := time.Now()
@@ -81,7 +83,7 @@
 	var b WindowBudget
 	now := time.Now()
 	is.True(!b.Take(now)) // the zero value allows none
-	b.Set(0, 1, 10*time.Second)
+	b.Set(0, 1.2, 10*time.Second, steady)
 	is.True(b.Take(now))
 	is.True(!b.Take(now))
 	b.Return(now)
@@ -96,7 +98,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(0, 20).Draw(t, "limit")
 		var r RateLimiter
-		r.Set(float64(limit))
+		r.Set(float64(limit), steady)
 		base := time.Now()
 		at := time.Duration(0)
 		var sent []sentRequest
@@ -116,8 +118,51 @@
 	is := is.New(t)
 	var r RateLimiter
 	is.True(!r.Take(time.Now())) // the zero value allows none
-	r.Set(-1)
+	r.Set(-1, RampUp{})
 	for range 100 {
 		is.True(r.Take(time.Now()))
 	}
 }
+
+// TestWindowBudgetSet changes the settings of a budget that has been used. A window
+// of 0 once made an index negative, and a changed window once forgot what had been
+// taken in the old one.
+func TestWindowBudgetSet(t *testing.T) {
+	const slack = 4 / SteadyFraction
+	tests := []struct {
+		name   string
+		window time.Duration // after the budget of 4 in 10 s has been taken
+		slack  float64
+		want   int // extra attempts that can then be taken
+	}{
+		{name: "the same", window: 10 * time.Second, slack: slack, want: 0},
+		{name: "no window", window: 0, slack: slack, want: 0},
+		{name: "negative window", window: -time.Second, slack: slack, want: 0},
+		{name: "longer window", window: 20 * time.Second, slack: slack, want: 0},
+		{name: "shorter window", window: time.Second, slack: slack, want: 0},
+		{name: "more slack in another window", window: 20 * time.Second, slack: 2 * slack, want: 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var b WindowBudget
+			b.Set(0, slack, 0, steady)
+			now := time.Now()
+			b.CountFirst(now.Add(-time.Millisecond)) // the clock was read before Set
+			is.True(!b.Take(now))
+			b.Set(0, slack, 10*time.Second, steady)
+			is.Equal(takeAll(&b, now), 4)
+			b.Set(0, tt.slack, tt.window, steady)
+			is.Equal(takeAll(&b, now), tt.want)
+		})
+	}
+}
+
+// takeAll takes what is left of a budget and returns how much that was.
+func takeAll(b *WindowBudget, now time.Time) int {
+	n := 0
+	for b.Take(now) {
+		n++
+	}
+	return n
+}
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"bronzedoor.dev/bronzedoor/internal/limit"
 	"bronzedoor.dev/bronzedoor/internal/roster"
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
@@ -66,7 +67,6 @@
 // started sent without a limit for half a second.
 func TestColdBeforeTable(t *testing.T) {
 	runScenario(t, 1, func(s *scenario) {
-		time.Sleep(coldWindow + 10*time.Millisecond)
 		arrived, allowed := coldArrivals(s)
 		for _, n := range arrived {
 			is.New(s.t).True(float64(n) <= allowed)
@@ -78,9 +78,10 @@
 // upstreams, since it may have sent requests before it was killed.
 func TestColdAfterStart(t *testing.T) {
 	runScenario(t, 1, func(s *scenario) {
+		s.proxy.started = time.Now()
 		arrived, allowed := coldArrivals(s)
 		for _, n := range arrived {
-			is.New(s.t).True(float64(n) <= (1-usableFraction)*allowed)
+			is.New(s.t).True(float64(n) <= (1-limit.SteadyFraction)*allowed)
 		}
 	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,15 +78,18 @@
 // A Proxy serves requests by sending them to upstreams. Set the exported fields,
 // then call Start.
 type Proxy struct {
-	Domain      string // failure domain of this daemon
-	Region      string
-	Codec       *client.Codec
-	Dial        func(ctx context.Context, address string) (net.Conn, error)
-	LimitShare  func() float64        // this daemon's share of Limits, from 0 to 1
-	Daemons     func() map[string]int // number of daemons by region; a nil func or map if unknown
-	MemoryLimit int64                 // memory of the process in bytes, which limits the shard requests in flight; 0 means no limit
-	Log         *event.Log
-	Metrics     *Metrics // may be nil
+	Domain     string // failure domain of this daemon
+	Region     string
+	Codec      *client.Codec
+	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	LimitShare func() float64 // this daemon's share of Limits, from 0 to 1
+	// CountedSince returns since when the other daemons count this one when they
+	// divide Limits; zero while they may not. If it is nil, they always did.
+	CountedSince func() time.Time
+	Daemons      func() map[string]int // number of daemons by region; a nil func or map if unknown
+	MemoryLimit  int64                 // memory of the process in bytes, which limits the shard requests in flight; 0 means no limit
+	Log          *event.Log
+	Metrics      *Metrics // may be nil
 
 	mu         sync.Mutex
 	limits     Limits
@@ -162,7 +165,7 @@
 func (p *Proxy) UpdateShare() {
 	share := p.LimitShare()
 	for _, g := range p.allGroups() {
-		g.setBudget(p.currentLimits(), share)
+		g.setBudget(p.currentLimits(), share, p.rampUp())
 		g.setUpstreamLimits(p.service(g.name), share)
 	}
 }
@@ -241,7 +244,7 @@
 	if g == nil {
 		g = &group{name: name}
 		p.groups[name] = g
-		g.setBudget(p.limits, p.LimitShare())
+		g.setBudget(p.limits, p.LimitShare(), p.rampUp())
 	}
 	return g
 }
@@ -256,27 +259,18 @@
 	return out
 }
 
-// usableFraction is the fraction of a shared limit that is used. The rest is a
-// margin, because a daemon counts a request when it sends it while others count it
-// when it arrives.
-const usableFraction = 0.85
-
-// coldWindow is the window over which requests to a cold upstream are limited.
-const coldWindow = time.Second
-
-// coldFraction returns the fraction of a cold upstream's rate that is used. A daemon
-// that has just started does not know what it sent before it was killed. Until
-// those requests have left the window, it uses only the margin that was left over.
-func (p *Proxy) coldFraction(now time.Time) float64 {
-	if now.Sub(p.started) < coldWindow {
-		return 1 - usableFraction
+// rampUp returns how this daemon's part of the limits grows after its start.
+func (p *Proxy) rampUp() limit.RampUp {
+	r := limit.RampUp{Started: p.started, Counted: p.started}
+	if p.CountedSince != nil {
+		r.Counted = p.CountedSince()
 	}
-	return usableFraction
+	return r
 }
 
 // setBudget sets this daemon's share of the service's budget for retries and hedges.
-func (g *group) setBudget(l Limits, share float64) {
-	g.budget.Set(usableFraction*l.BudgetRatio, usableFraction*l.BudgetSlack*share, l.BudgetWindow)
+func (g *group) setBudget(l Limits, share float64, ramp limit.RampUp) {
+	g.budget.Set(l.BudgetRatio, l.BudgetSlack*share, l.BudgetWindow, ramp)
 }
 
 // setUpstreamLimits sets this daemon's share of the limits of each upstream.
--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -39,6 +39,8 @@
 	serviceTime = 20 * time.Millisecond
 )
 
+const budgetWindow = 10 * time.Second
+
 // runScenario runs test in a scenario with services "shard0" and so on, one for each
 // shard, and a service "single".
 func runScenario(t *testing.T, shards int, test func(s *scenario)) {
@@ -59,6 +61,7 @@
 			}
 		}
 		s.startProxy(services)
+		time.Sleep(budgetWindow) // until the daemon may use its whole share of the limits
 		defer s.stop()
 		test(s)
 	})
@@ -101,7 +104,7 @@
 		Dial:       func(ctx context.Context, a string) (net.Conn, error) { return dial(ctx, "tcp", a) },
 		LimitShare: func() float64 { return float64(s.limitShare.Load()) / 1000 },
 	}
-	s.proxy.SetLimits(Limits{BudgetRatio: 0.2, BudgetSlack: 56, BudgetWindow: 10 * time.Second, ColdFactor: 1.5, ColdSlack: 5})
+	s.proxy.SetLimits(Limits{BudgetRatio: 0.2, BudgetSlack: 56, BudgetWindow: budgetWindow, ColdFactor: 1.5, ColdSlack: 5})
 	if err := s.proxy.Start(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -59,9 +59,9 @@
 	limits := u.proxy.currentLimits()
 	coldRate := -1.0
 	if s.ColdRate > 0 {
-		coldRate = u.proxy.coldFraction(time.Now()) * (s.ColdRate*limits.ColdFactor + limits.ColdSlack) * share
+		coldRate = (s.ColdRate*limits.ColdFactor + limits.ColdSlack) * share
 	}
-	u.coldRate.Set(coldRate)
+	u.coldRate.Set(coldRate, u.proxy.rampUp())
 	u.maxLate.Store(int32(lateSlotFactor * float64(u.info.Slots) * share))
 }
 
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -90,6 +90,7 @@
 		return
 	}
 	d.fleet.Set(maps.Clone(d.members))
+	d.membership.observe(!d.fleet.SelfMissing() && d.fleet.Known(), time.Now())
 	d.Flow.UpdateShare()
 	d.Log.Emit(event.MembersChanged, event.Fields{
 		Step:   "members",
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -76,9 +76,10 @@
 	Upstreams       Collection[roster.Upstream]
 	ExcludedDomains Collection[string]        // failure domains out of rotation
 	Members         Collection[mirror.Member] // daemons of the fleet
-	// PutMember writes this daemon's own record. A term that differs from the
-	// stored one changes the record and so its revision, which renews its lease.
-	PutMember func(ctx context.Context, self mirror.Member, term int) error
+	// PutMember writes this daemon's own record, and reports whether there was one.
+	// A term that differs from the stored one changes the record and so its
+	// revision, which renews its lease.
+	PutMember func(ctx context.Context, self mirror.Member, term int) (existed bool, err error)
 	// RemoveMember removes a daemon's record if it still has the given revision.
 	RemoveMember func(ctx context.Context, name string, revision uint64) error
 }
@@ -113,6 +114,7 @@
 	fleet        mirror.Fleet
 	members      map[string]mirror.Member // by object name; used only by the members topic
 	mirror       *mirror.Mirror
+	membership   membership
 	reaper       *reaper
 	callerServer *server
 }
@@ -134,15 +136,16 @@
 	d.reaper = &reaper{daemon: d}
 	d.roster = roster.New()
 	d.Flow = &proxy.Proxy{
-		Domain:      d.Settings.Domain,
-		Region:      d.Settings.Region,
-		Codec:       d.Codec,
-		Dial:        d.Dial,
-		LimitShare:  d.fleet.Share,
-		Daemons:     d.fleet.CountByRegion,
-		MemoryLimit: d.Settings.MemoryLimit,
-		Log:         d.Log,
-		Metrics:     proxy.NewMetrics(registry),
+		Domain:       d.Settings.Domain,
+		Region:       d.Settings.Region,
+		Codec:        d.Codec,
+		Dial:         d.Dial,
+		LimitShare:   d.fleet.Share,
+		CountedSince: d.membership.countedSince,
+		Daemons:      d.fleet.CountByRegion,
+		MemoryLimit:  d.Settings.MemoryLimit,
+		Log:          d.Log,
+		Metrics:      proxy.NewMetrics(registry),
 	}
 	d.Flow.SetLimits(d.Settings.Bounds)
 	d.roster.OnChange = d.Flow.SetUpstreams
--- a/internal/server/fakestore_test.go
+++ b/internal/server/fakestore_test.go
@@ -74,6 +74,14 @@
 	s.changed = make(chan struct{})
 }
 
+// has reports whether an object is stored.
+func (s *fakeStore) has(kind int, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	return ok && !o.Deleted
+}
+
 // clearFaults ends all faults.
 func (s *fakeStore) clearFaults() {
 	s.mu.Lock()
@@ -222,12 +230,13 @@
 		Upstreams:       newCollection[roster.Upstream](s, from, kindUpstreams),
 		ExcludedDomains: newCollection[string](s, from, kindDomains),
 		Members:         members,
-		PutMember: func(ctx context.Context, self mirror.Member, _ int) error {
+		PutMember: func(ctx context.Context, self mirror.Member, _ int) (bool, error) {
 			if err := s.call(ctx, from); err != nil {
-				return err
+				return false, err
 			}
+			existed := s.has(kindMembers, self.Name)
 			s.put(kindMembers, self.Name, self)
-			return nil
+			return existed, nil
 		},
 		RemoveMember: func(ctx context.Context, name string, _ uint64) error {
 			if err := s.call(ctx, from); err != nil {
--- a/internal/server/join.go
+++ b/internal/server/join.go
@@ -41,13 +41,19 @@
 // loop writes the record at the start, and again whenever its renewal is due or
 // it has been removed. It returns when ctx ends.
 func (j *joiner) loop(ctx context.Context) {
+	attempts := 0
 	for term := 0; ctx.Err() == nil; {
-		err := j.daemon.Source.PutMember(ctx, j.daemon.fleet.Self, term)
+		attempts++
+		existed, err := j.daemon.Source.PutMember(ctx, j.daemon.fleet.Self, term)
 		if err != nil {
 			j.daemon.Log.Emit(event.MemberWriteFailed, event.Fields{Step: "join", Err: err})
 			delay.Sleep(ctx, delay.Jitter(joinRetryDelay))
 			continue
 		}
+		if existed && attempts == 1 {
+			// After a failed attempt, the record may be that attempt's.
+			j.daemon.membership.confirm()
+		}
 		term++
 		j.waitForRenewal(ctx)
 	}
@@ -65,6 +71,53 @@
 	}
 }
 
+// settleTime is the time after which all daemons have seen a record that one of
+// them has seen: a daemon with older data reads the store itself.
+const settleTime = feed.StaleAge
+
+// A membership records since when the other daemons count this one as a member. The
+// zero value is a daemon without a record. It is safe for concurrent use.
+type membership struct {
+	mu        sync.Mutex
+	seenSince time.Time // since when this daemon's own record has been among those it sees; zero while it is not
+	confirmed bool      // that record is known to be from before the start of this process
+}
+
+// observe records whether the daemon's own record is among those that it sees now.
+func (m *membership) observe(seen bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !seen:
+		m.seenSince = time.Time{}
+		m.confirmed = false
+	case m.seenSince.IsZero():
+		m.seenSince = now
+	}
+}
+
+// confirm records that there was a record when this daemon wrote its own. So others
+// have counted it all the while.
+func (m *membership) confirm() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.confirmed = true
+}
+
+// countedSince returns since when all other daemons count this one; zero while they
+// may not.
+func (m *membership) countedSince() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.seenSince.IsZero():
+		return time.Time{}
+	case m.confirmed:
+		return m.seenSince
+	}
+	return m.seenSince.Add(settleTime)
+}
+
 // A reaper removes the expired records of other daemons. Each record counts in
 // the division of the shared limits, so without it every daemon's share would
 // shrink with each VM that is replaced. Only the first daemon in the read order
