peer: answer an outdated state with the current one

Cause: the state of a member is gossiped a limited number of times. A member that all of these missed kept an older one ("down") for as long as no table was compared: its pings carry it, and the member that is meant ignored it, as its own sequence number is higher. Change: the ack of a ping that carries an older state of the pinged member carries its own. Result: TestOutdatedStateIsCorrected failed before, and passes.

--- a/internal/peer/detector.go
+++ b/internal/peer/detector.go
@@ -341,6 +341,7 @@
 	case wire.Beat_PING:
 		ack := d.newBeat(wire.Beat_ACK, m.Number)
 		d.addIfDown(ack, m.From)
+		d.addIfOutdated(ack, m)
 		d.send(from, ack)
 	case wire.Beat_ACK:
 		d.handleAck(m)
@@ -359,6 +360,19 @@
 	}
 }
 
+// addIfOutdated adds the daemon's own state to its answer to a message that carries
+// an older one. The current state has been gossiped as often as the table allows, and
+// may have missed the sender each time.
+func (d *Detector) addIfOutdated(answer, received *wire.Beat) {
+	self := d.table.Self()
+	for _, m := range Decode(received.Members) {
+		if m.Identity == self.Identity && m.Seq < self.Seq {
+			answer.Members = append(answer.Members, Encode([]Member{self})...)
+			return
+		}
+	}
+}
+
 // handleAck passes the ack of a relayed ping on to the member that asked for it,
 // or ends the probe of an own ping.
 func (d *Detector) handleAck(m *wire.Beat) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -193,3 +193,27 @@
 		}
 	})
 }
+
+// TestOutdatedStateIsCorrected gives one member an outdated state of another, which
+// says that it is down. The current one is not gossiped any more, so that only the
+// answer to a ping can carry it.
+func TestOutdatedStateIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		defer f.stop()
+		time.Sleep(time.Second)
+		other := f.detectors[1]
+		other.mu.Lock()
+		other.table.self.Seq = 2
+		other.table.self.sendsLeft = 0
+		other.mu.Unlock()
+		f.detectors[0].MarkDown(other.Self.Identity)
+		f.detectors[0].mu.Lock()
+		f.detectors[0].table.members[other.Self.Identity].sendsLeft = 0
+		f.detectors[0].mu.Unlock()
+		is.Equal(f.countDown(1), 1)
+		time.Sleep(2 * downPingEvery * PingInterval)
+		is.Equal(f.countDown(1), 0)
+	})
+}
