plan, entry: serve a service of which one cell can't report its versions

Cause: a query needs a version that all cells can serve. A daemon that first asked a cell when all its upstreams were out of rotation, or down, never learned one, and refused all queries of the service. Change: cells without an upstream in rotation don't count for the common version; if other cells can't tell after they were asked, the query goes on with those that can.

--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -90,7 +90,8 @@
 
 // chooseSnapshot returns the snapshot to read in a round: the one that the request
 // names, in round 0 only, or the newest one that all cells can serve. If that is
-// unknown, it asks the cells once. It reports false if there is no snapshot.
+// unknown, it asks the cells once, and then leaves out those that can't tell. It
+// reports false if no cell can.
 func (e *Entry) chooseSnapshot(ctx context.Context, s *conf.Service, req *query.Request, round int) (query.Snapshot, bool) {
 	if req.Snapshot != nil {
 		return *req.Snapshot, round == 0
@@ -101,7 +102,10 @@
 	for i := range s.Layouts {
 		e.refreshVersions(ctx, s.Name, &s.Layouts[i], 0)
 	}
-	return e.Versions.Snapshot(s)
+	if p, ok := e.Versions.Snapshot(s); ok {
+		return p, true
+	}
+	return e.Versions.PartialSnapshot(s)
 }
 
 // A fanOut is one round of a query. It queries each cell and merges the replies.
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -55,6 +55,47 @@
 	}
 }
 
+// TestSnapshotWithoutCell checks services of which one cell can't report versions.
+// A daemon that first asked when the only upstream of a cell was already out of
+// rotation once refused all queries of the service until it was back.
+func TestSnapshotWithoutCell(t *testing.T) {
+	known := layout(1)
+	excluded := layout(1)
+	excluded.Cells[1].Shards = []conf.Shard{{Upstreams: []conf.Upstream{{Excluded: true}, {Excluded: true}}}}
+	partly := layout(1)
+	partly.Cells[1].Shards = []conf.Shard{{Upstreams: []conf.Upstream{{Excluded: true}, {}}}}
+	tests := []struct {
+		name    string
+		layout  conf.Layout
+		reports []string // cells that report version 5
+		whole   bool     // Snapshot returns it
+		partial bool     // PartialSnapshot returns it
+	}{
+		{name: "all cells report", layout: known, reports: []string{"s.1.0", "s.1.1"}, whole: true, partial: true},
+		{name: "a cell out of rotation", layout: excluded, reports: []string{"s.1.0"}, whole: true, partial: true},
+		{name: "a cell with one upstream in rotation", layout: partly, reports: []string{"s.1.0"}, partial: true},
+		{name: "a cell that does not report", layout: known, reports: []string{"s.1.1"}, partial: true},
+		{name: "no cell reports", layout: excluded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var v Versions
+			for _, cell := range tt.reports {
+				v.Record(cell, 1, 5, time.Unix(0, 0))
+			}
+			s := &conf.Service{Name: "s", Layouts: []conf.Layout{tt.layout}}
+			whole, ok := v.Snapshot(s)
+			is.Equal(ok, tt.whole)
+			partial, partialOK := v.PartialSnapshot(s)
+			is.Equal(partialOK, tt.partial)
+			want := query.Snapshot{Layout: 1, Version: 5}
+			is.True(!ok || whole == want)
+			is.True(!partialOK || partial == want)
+		})
+	}
+}
+
 func TestBalancerPick(t *testing.T) {
 	now := time.Unix(1000, 0)
 	block := []permit.Block{{BlockID: permit.BlockID{Cell: "s.1.0"}}}
--- a/internal/plan/versions.go
+++ b/internal/plan/versions.go
@@ -40,8 +40,8 @@
 }
 
 // Snapshot returns the newest snapshot that every cell of the service can serve.
-// It is of the newest layout of which the versions of all cells are known. It
-// returns false if there is no such layout.
+// It is of the newest layout of which the versions of all cells are known that have
+// an upstream in rotation. It returns false if there is no such layout.
 func (v *Versions) Snapshot(s *conf.Service) (query.Snapshot, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -53,21 +53,73 @@
 	return query.Snapshot{}, false
 }
 
+// PartialSnapshot returns the newest snapshot that the cells with known versions can
+// serve, of the layout with the largest fraction of such cells. It is for a daemon
+// that can't learn the versions of the other cells, because none of their upstreams
+// answers: the rest of the service is still served. It returns false if no cell's
+// versions are known.
+func (v *Versions) PartialSnapshot(s *conf.Service) (query.Snapshot, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var best query.Snapshot
+	most := 0.0
+	for i := len(s.Layouts) - 1; i >= 0; i-- {
+		l := &s.Layouts[i]
+		version, known := v.knownVersion(l)
+		if fraction := float64(known) / float64(max(len(l.Cells), 1)); fraction > most {
+			best = query.Snapshot{Layout: l.Number, Version: version}
+			most = fraction
+		}
+	}
+	return best, most > 0
+}
+
 // commonVersion returns the newest version that all cells of a layout can serve,
-// or 0 if the versions of a cell are unknown. If the ranges do not overlap, it
-// returns the one that most of the cells may still reach.
+// or 0 if the versions of a cell are unknown. Cells without an upstream in rotation
+// do not count, since no daemon can report their versions.
 func (v *Versions) commonVersion(l *conf.Layout) uint64 {
-	var version uint64
+	version, known := v.knownVersion(l)
+	for g := range l.Cells {
+		if v.ranges[l.Cells[g].Name].newest == 0 && outOfRotation(&l.Cells[g]) {
+			known++
+		}
+	}
+	if known < len(l.Cells) {
+		return 0
+	}
+	return version
+}
+
+// knownVersion returns the newest version that all cells with known versions can
+// serve, 0 if there are none, and the number of these cells. If the ranges do not
+// overlap, it returns the one that most of the cells may still reach.
+func (v *Versions) knownVersion(l *conf.Layout) (version uint64, known int) {
 	for g := range l.Cells {
 		r := v.ranges[l.Cells[g].Name]
 		if r.newest == 0 {
-			return 0
+			continue
 		}
+		known++
 		if version == 0 || r.newest < version {
 			version = r.newest
 		}
 	}
-	return version
+	return version, known
+}
+
+// outOfRotation reports whether a cell has upstreams and all of them are out of
+// rotation.
+func outOfRotation(c *conf.Cell) bool {
+	n := 0
+	for _, s := range c.Shards {
+		for i := range s.Upstreams {
+			if !s.Upstreams[i].Excluded {
+				return false
+			}
+			n++
+		}
+	}
+	return n > 0
 }
 
 // StaleGroups returns the groups of a layout whose versions are unknown, or were
