client, proxy, mirror, server and others: faults found by reading, each with a test

Cause and change, by package: - client: a response head had no bound, so an upstream that sends bytes without end grew the process until the deadline; status line, header and interim responses now share 64 KB, the body 8 MB plus 1 MB of framing. Not a fault: feed calls Recovered before it applies the objects on purpose, as the roster must know of the outage when it sees removals; the comment says so now.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -6,12 +6,13 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/body"
 )
 
 // A Request is a caller's request as it is forwarded to an upstream. It is shared
@@ -69,8 +70,12 @@
 	IdleTimeout func(h http.Header) time.Duration
 }
 
-// maxBody is the maximum size of a response body in bytes.
-const maxBody = 8 << 20
+// Maximum sizes of a response in bytes.
+const (
+	maxHead    = 64 << 10 // status line and header, with all informational responses before
+	maxBody    = 8 << 20
+	maxFraming = 1 << 20 // chunk sizes, their extensions and the trailer, on top of maxBody
+)
 
 // maxSyncWrite is the size in bytes up to which a request fits the socket buffers,
 // so that writing it does not block until the upstream reads.
@@ -79,10 +84,41 @@
 // A conn is one connection. It carries one request at a time.
 type conn struct {
 	net         net.Conn
-	r           *bufio.Reader
+	limit       *limitedReader
+	r           *bufio.Reader // reads from limit
 	lastUsed    time.Time     // when it was opened or last returned to the pool
 	idleTimeout time.Duration // after which the upstream closes it when idle; 0 if unknown
-	fresh       bool          // newly opened and not yet returned to the pool
+	fresh       bool          // newly opened and without a request so far
+}
+
+func newConn(nc net.Conn) *conn {
+	limit := &limitedReader{r: nc}
+	return &conn{net: nc, limit: limit, r: bufio.NewReaderSize(limit, 2<<10), lastUsed: time.Now(), fresh: true}
+}
+
+// A limitedReader reads from a connection until its limit is used up. An upstream in
+// trouble may send bytes without end in any part of a response.
+type limitedReader struct {
+	r    io.Reader
+	left int64 // bytes that may still be read
+	max  int64 // left as it was last set
+}
+
+// allow sets how many bytes may be read from now on.
+func (r *limitedReader) allow(n int64) {
+	r.left = n
+	r.max = n
+}
+
+// Read reads from the connection. The error is a *body.TooLongError once the limit is
+// used up.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, &body.TooLongError{Max: r.max}
+	}
+	n, err := r.r.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
 }
 
 // A writer writes a request in the background while the response is being read.
@@ -125,7 +161,7 @@
 		}
 		return re, false
 	}
-	resp, body, err := c.read(req.Method)
+	resp, respBody, err := c.read(req.Method)
 	stopped := stop()
 	if err != nil {
 		return Reply{Result: Unknown, Err: cause(ctx, err)}, false
@@ -139,7 +175,7 @@
 			complete = false
 		}
 	}
-	re := codec.Decode(req, resp, body)
+	re := codec.Decode(req, resp, respBody)
 	c.idleTimeout = codec.IdleTimeout(resp.Header)
 	if c.r.Buffered() > 0 {
 		return re, false
@@ -172,6 +208,7 @@
 // read returns the next final response and its complete body. It skips
 // informational (1xx) responses.
 func (c *conn) read(method string) (*http.Response, []byte, error) {
+	c.limit.allow(maxHead)
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
 		if err != nil {
@@ -180,14 +217,9 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err != nil {
-			return nil, nil, err
-		}
-		if len(body) > maxBody {
-			return nil, nil, fmt.Errorf("response body exceeds %d bytes", maxBody)
-		}
-		return resp, body, nil
+		c.limit.allow(maxBody + maxFraming)
+		b, err := body.Read(resp.Body, maxBody)
+		return resp, b, err
 	}
 }
 
--- a/internal/client/pool.go
+++ b/internal/client/pool.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"math"
@@ -132,6 +131,7 @@
 		return Reply{Result: Unsent, Err: err}
 	}
 	fresh := c.fresh
+	c.fresh = false
 	sent := time.Now()
 	re, reusable := c.exchange(ctx, p.Codec, req, p.ID, time.Until(deadline))
 	if re.Result != Unsent {
@@ -153,13 +153,14 @@
 	p.atLimitUntil = time.Now().Add(connLimitWait)
 }
 
-// Probe opens a connection and adds it to the idle ones, whatever the maximum. It
-// returns the dial error if that fails.
+// Probe opens a connection and adds it to the idle ones. If the maximum number is
+// open, it closes an idle one first, which says less about the upstream. It returns
+// the dial error if that fails, and ErrBusy if all connections are in use or the
+// pool is closed.
 func (p *Pool) Probe(ctx context.Context) error {
-	p.mu.Lock()
-	p.open++
-	p.dialing++
-	p.mu.Unlock()
+	if !p.reserveProbe() {
+		return ErrBusy
+	}
 	c, err := p.connect(ctx)
 	if err != nil {
 		return err
@@ -168,6 +169,23 @@
 	return nil
 }
 
+// reserveProbe counts a connection to be opened by Probe, and reports whether it may
+// be.
+func (p *Pool) reserveProbe() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.maxOpen && len(p.idle) > 0 {
+		p.drop(p.idle[0])
+		p.idle = p.idle[1:]
+	}
+	if p.closed || p.open >= p.maxOpen {
+		return false
+	}
+	p.open++
+	p.dialing++
+	return true
+}
+
 // get returns an idle connection or opens one. It returns ErrBusy if the maximum
 // number is open or the pool is closed.
 func (p *Pool) get(ctx context.Context, recentOnly bool) (*conn, error) {
@@ -199,7 +217,7 @@
 // usable reports whether an idle connection may carry a request.
 func (c *conn) usable(now time.Time, recentOnly bool) bool {
 	idle := now.Sub(c.lastUsed)
-	if recentOnly && idle > maxRecentIdle && !c.fresh {
+	if recentOnly && idle > maxRecentIdle {
 		return false
 	}
 	return idle < c.idleLimit() && healthy(c.net)
@@ -229,7 +247,7 @@
 	if took := time.Since(start); p.rtt == 0 || took < p.rtt {
 		p.rtt = took
 	}
-	return &conn{net: nc, r: bufio.NewReaderSize(nc, 2<<10), lastUsed: time.Now(), fresh: true}, nil
+	return newConn(nc), nil
 }
 
 // put returns a connection to the pool, or closes it if it is not reusable.
@@ -241,7 +259,6 @@
 		return
 	}
 	c.lastUsed = time.Now()
-	c.fresh = false
 	p.idle = append(p.idle, c)
 	if p.openShare > 0 {
 		time.AfterFunc(p.sharedIdle(), p.trimNow)
--- a/internal/client/pool_test.go
+++ b/internal/client/pool_test.go
@@ -276,10 +276,58 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := &conn{r: bufio.NewReader(strings.NewReader(string(text)))}
+		limit := &limitedReader{r: strings.NewReader(string(text))}
+		c := &conn{limit: limit, r: bufio.NewReader(limit)}
 		resp, body, err := c.read(http.MethodGet)
 		if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 			t.Fatalf("body has %d bytes, Content-Length is %d", len(body), resp.ContentLength)
 		}
 	})
 }
+
+// TestProbe probes an upstream while its pool is full, closed, or has room.
+func TestProbe(t *testing.T) {
+	tests := []struct {
+		name  string
+		idle  int // connections that a probe has opened before
+		inUse int // of these, taken for a request
+		close bool
+		want  error
+		open  int // afterwards
+	}{
+		{name: "room", want: nil, open: 1},
+		{name: "full of idle connections", idle: 2, want: nil, open: 2},
+		{name: "all in use", idle: 2, inUse: 2, want: ErrBusy, open: 2},
+		{name: "closed", close: true, want: ErrBusy, open: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t, &scriptedUpstream{responses: []string{okResponse("a", "x")}})
+			p.SetMaxOpen(2)
+			for range tt.idle {
+				is.NoErr(p.Probe(t.Context()))
+			}
+			for range tt.inUse {
+				_, err := p.get(t.Context(), false)
+				is.NoErr(err)
+			}
+			if tt.close {
+				p.Close()
+			}
+			is.Equal(p.Probe(t.Context()), tt.want)
+			is.Equal(p.open, tt.open)
+		})
+	}
+}
+
+// TestProbedConnectionIsFresh sends the first request on a probed connection to an
+// upstream that resets it, as it does with connections beyond its limit.
+func TestProbedConnectionIsFresh(t *testing.T) {
+	is := is.New(t)
+	p := newPool(t, &scriptedUpstream{responses: []string{""}, closes: true})
+	is.NoErr(p.Probe(t.Context()))
+	re := send(t, p, getRequest("a"))
+	is.Equal(re.Result, Unknown)
+	is.True(re.AtConnLimit)
+}
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -129,3 +129,35 @@
 		})
 	}
 }
+
+// TestChangesSincePagesRejected pages through more rejected objects than fit a page.
+// Their last valid states are older than the page begins, and once filled each page,
+// so that a peer never came further.
+func TestChangesSincePagesRejected(t *testing.T) {
+	is := is.New(t)
+	const n, limit = 25, 10
+	named := func(i, rev, deadline int) object.Object {
+		o := selector(uint64(rev), deadline)
+		o.Name = fmt.Sprint("c", i)
+		o.Body = []byte(fmt.Sprintf(`{"caller":"c%d","service":"s","deadline":%d,"floor":0,"tries":1}`, i, deadline))
+		return o
+	}
+	var from, to Config
+	for i := range n {
+		from.Apply([]object.Object{named(i, i+1, 100)}, uint64(i+1))
+	}
+	for i := range n {
+		from.Apply([]object.Object{named(i, n+i+1, -1)}, uint64(n+i+1))
+	}
+	for range 2 * n {
+		objects, rev, more := from.ChangesSince(to.Revision(), limit)
+		is.True(rev > to.Revision()) // each page makes progress
+		to.Apply(objects, rev)
+		if !more {
+			break
+		}
+	}
+	is.Equal(to.Revision(), from.Revision())
+	is.Equal(len(to.Rejected()), n)
+	is.Equal(to.View().Selector("c7").DeadlineMs, 100)
+}
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -114,28 +114,33 @@
 
 // ChangesSince returns up to limit objects that changed after revision since, in
 // the order of their revisions, the revision up to which they are complete, and
-// whether there are more. Of a rejected object it also returns the last valid
-// state.
+// whether there are more. Before a rejected object it also returns its last valid
+// state, which does not count towards limit, as its revision may be before since.
 func (c *Config) ChangesSince(since uint64, limit int) ([]object.Object, uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []object.Object
-	for k, o := range c.latest {
-		if o.Revision <= since {
-			continue
-		}
-		out = append(out, o)
-		if g, ok := c.valid[k]; ok && g.Revision != o.Revision {
-			out = append(out, g)
+	var changed []object.Object
+	for _, o := range c.latest {
+		if o.Revision > since {
+			changed = append(changed, o)
 		}
 	}
-	slices.SortFunc(out, func(a, b object.Object) int {
+	slices.SortFunc(changed, func(a, b object.Object) int {
 		return cmp.Compare(a.Revision, b.Revision)
 	})
-	if len(out) > limit {
-		return out[:limit], out[limit-1].Revision, true
+	rev, more := c.rev, len(changed) > limit
+	if more {
+		changed = changed[:limit]
+		rev = changed[limit-1].Revision
+	}
+	var out []object.Object
+	for _, o := range changed {
+		if v, ok := c.valid[key{kind: o.Kind, name: o.Name}]; ok && v.Revision != o.Revision {
+			out = append(out, v)
+		}
+		out = append(out, o)
 	}
-	return out, c.rev, false
+	return out, rev, more
 }
 
 // Rejected returns the objects whose newest state was rejected, in the order of
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -122,10 +122,12 @@
 // Start opens the listeners and starts all services. ctx bounds the services'
 // lifetime as well. Start returns an error if a listener or a service fails.
 func (d *Daemon) Start(ctx context.Context) error {
-	if err := d.build(); err != nil {
-		return err
+	err := d.build()
+	if err == nil {
+		err = d.kernel.Start(ctx)
 	}
-	if err := d.kernel.Start(ctx); err != nil {
+	if err != nil {
+		d.closeSockets()
 		return err
 	}
 	d.Log.Emit(event.DaemonStarted, event.Fields{Step: "start", Detail: d.identity})
@@ -316,6 +318,19 @@
 	return nil
 }
 
+// closeSockets closes the sockets that build has opened, after a failed start.
+func (d *Daemon) closeSockets() {
+	if d.socket != nil {
+		_ = d.socket.Conn.Close()
+	}
+	if d.server != nil {
+		_ = d.server.listener.Close()
+	}
+	if d.entry != nil {
+		_ = d.entry.Listener.Close()
+	}
+}
+
 // closeConns closes the heartbeat socket and idle connections, which stopping the
 // services leaves open.
 func (d *Daemon) closeConns() {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -83,7 +83,7 @@
 	sweepLimit    = 100 // most claims removed in one sweep
 )
 
-// A sweeper removes expired claims. Only daemons that watch the store sweep.
+// A sweeper removes expired claims. Only the daemon that ranks first sweeps.
 type sweeper struct {
 	daemon     *Daemon
 	entry      *entry.Entry
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// loop sweeps every sweepInterval until ctx ends, if this daemon watches the store.
+// loop sweeps every sweepInterval until ctx ends, if this daemon ranks first.
 func (s *sweeper) loop(ctx context.Context) {
 	defer s.goroutines.Done()
 	t := time.NewTicker(sweepInterval)
@@ -118,7 +118,7 @@
 			return
 		case <-t.C:
 		}
-		if !s.daemon.holdsWatch() {
+		if s.daemon.rank() > 0 {
 			continue
 		}
 		n, err := s.entry.Claims.Sweep(ctx, sweepLimit, time.Now())
--- a/internal/entry/cells.go
+++ b/internal/entry/cells.go
@@ -63,6 +63,9 @@
 	// The holder is not at fault if the request was canceled.
 	ok := err == nil || errors.Is(ctx.Err(), context.Canceled)
 	e.Balancer.End(h.holder, now.Sub(start), ok, now)
+	if err == nil {
+		e.Metrics.hedgeDelay.Add(now.Sub(start))
+	}
 	h.query.results <- holderResult{holder: h.holder, reply: reply, err: err}
 }
 
@@ -156,7 +159,7 @@
 		return false
 	}
 	e := c.fanOut.entry
-	e.Versions.Record(c.cell.Name, r.reply.Oldest, r.reply.Newest, time.Now())
+	e.Versions.Record(c.cell.Name, r.reply.Newest, time.Now())
 	c.fanOut.replies <- r.reply
 	c.wanted = nil
 	complete := true
@@ -294,7 +297,7 @@
 			Remaining: remainingMicros(ctx),
 		})
 		if err == nil && !reply.Absent && reply.Newest > 0 {
-			e.Versions.Record(q.cell.Name, reply.Oldest, reply.Newest, time.Now())
+			e.Versions.Record(q.cell.Name, reply.Newest, time.Now())
 			return
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,10 @@
 	reasonClaim    = "the claim can't be made"
 )
 
+// unknownClass is the class that is counted for refused requests without a selector.
+// Their callers' names would make any number of metrics.
+const unknownClass = "unknown"
+
 // An Entry is the HTTP server for callers. Set the exported fields, then call Start.
 type Entry struct {
 	Self        string // identity of this daemon
@@ -161,6 +165,7 @@
 	if errors.As(err, &large) {
 		status = http.StatusRequestEntityTooLarge
 	}
+	e.Metrics.countRefusal(unknownClass, "invalid")
 	e.writeRefusal(w, &query.Refusal{Reason: err.Error(), Run: query.RunNone, Status: status})
 	return false
 }
@@ -210,6 +215,7 @@
 	adm := &admission{id: e.requestID(id), start: time.Now()}
 	adm.selector = e.Config.View().Selector(caller)
 	if adm.selector == nil {
+		e.Metrics.countRefusal(unknownClass, "selector")
 		return nil, &query.Refusal{ID: adm.id, Reason: reasonCaller, Run: query.RunNone, Status: http.StatusForbidden}
 	}
 	timeout := adm.selector.Deadline()
--- a/internal/entry/metric.go
+++ b/internal/entry/metric.go
@@ -41,7 +41,7 @@
 	shardSeconds  *prometheus.HistogramVec // by class and service
 	shardFailures *prometheus.CounterVec   // by service and cause
 	extraAttempts *prometheus.CounterVec   // by class: attempts beyond the first of each shard request
-	hedgeDelay    hedge.Quantile           // of the times until queries were answered
+	hedgeDelay    hedge.Quantile           // of the times until holders replied
 
 	mu           sync.Mutex
 	hedgeBudgets map[string]*limit.Budget // of hedges between holders, by class
@@ -78,7 +78,6 @@
 	m.hedgeBudget(s.Caller).Add(float64(s.HedgePercent) / 100 / hedgeDivisor)
 	if a != nil {
 		m.coverageRatio.WithLabelValues(s.Caller).Observe(float64(a.Coverage.Merged) / float64(max(a.Coverage.Shards, 1)))
-		m.hedgeDelay.Add(took)
 	}
 	if r != nil {
 		m.countRefusal(s.Caller, "answer")
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -67,8 +67,11 @@
 	Rank      func() int             // number of daemons that are to read the store before this one
 	RankKnown func() bool            // whether Rank is known yet; nil if it always is
 	Apply     func(changes []Object) // applies new changes; called without any if the first read finds no objects
-	Recovered func()                 // called when the objects are up to date again after an outage; may be nil
-	Changed   func()                 // called when peers can get newer objects or a newer age; may be nil
+	// Recovered is called when the store answers again after an outage, before the
+	// changes of that time are applied: those who apply them can then tell objects
+	// that were removed from objects that could not be renewed. It may be nil.
+	Recovered func()
+	Changed   func() // called when peers can get newer objects or a newer age; may be nil
 	Log       *event.Log
 
 	mu           sync.Mutex
--- a/internal/health/replica.go
+++ b/internal/health/replica.go
@@ -20,7 +20,6 @@
 	// the retry budget allows it, or else the loss of the response.
 	failureCost      = 200 * time.Millisecond
 	minSlowdown      = 2.0                   // latencies below this multiple of the typical one are normal variation
-	queuedFactor     = 3.0                   // a request that took this multiple of the typical latency was queued
 	decreaseFactor   = 0.7                   // the limit is multiplied by this when the replica is overloaded
 	minLimit         = 2                     // requests in flight
 	maxLimit         = 64                    // requests in flight
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -95,7 +95,24 @@
 
 // Handler returns the handler of the replication service for peers.
 func (m *Mirror) Handler() http.Handler {
-	return rpc.NewMirrorServer(m)
+	next := rpc.NewMirrorServer(m)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callerKey{}, r.RemoteAddr)))
+	})
+}
+
+// callerKey is the context key of the remote address of a call, a string.
+type callerKey struct{}
+
+// isCaller reports whether address, IP:PORT, is on the host that made the call of ctx.
+func isCaller(ctx context.Context, address string) bool {
+	remote, _ := ctx.Value(callerKey{}).(string)
+	callerHost, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && host == callerHost
 }
 
 // Changes returns what changed in the requested topics after the given cursors.
@@ -103,13 +120,15 @@
 // confirmed to be complete as of a time after the call began: otherwise the age
 // of a copy would grow at each hop. If a topic is older than fallbackAge here
 // and the calling daemon has a newer revision of it, the call returns at once,
-// and this daemon fetches from that one.
+// and this daemon fetches from that one, if the address it gives is its own.
 func (m *Mirror) Changes(ctx context.Context, r *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
 	timer := time.NewTimer(min(time.Duration(r.GetWait())*time.Millisecond, longPoll))
 	defer timer.Stop()
 	start := time.Now()
 	if m.behind(r.GetCursors(), start) {
-		m.noteAhead(r.GetFrom())
+		if isCaller(ctx, r.GetFrom()) {
+			m.noteAhead(r.GetFrom())
+		}
 		reply, _, err := m.collect(r.GetCursors())
 		return reply, err
 	}
@@ -145,12 +164,8 @@
 	return false
 }
 
-// noteAhead records the address of a peer to fetch from. An empty address is
-// ignored.
+// noteAhead records the address of a peer to fetch from.
 func (m *Mirror) noteAhead(address string) {
-	if address == "" {
-		return
-	}
 	select {
 	case m.ahead <- address:
 	default:
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -291,3 +291,22 @@
 	f.Set(map[string]Member{"a": {Name: "a", Region: "x"}, "b": {Name: "b", Region: "y"}, "c": {Name: "c", Region: "y"}})
 	is.Equal(f.CountByRegion(), map[string]int{"x": 1, "y": 2})
 }
+
+// TestIsCaller checks which addresses a daemon fetches from after a call: one that
+// names another host would make it connect to any address that a caller chooses.
+func TestIsCaller(t *testing.T) {
+	tests := []struct {
+		remote, address string
+		want            bool
+	}{
+		{remote: "10.1.0.2:50001", address: "10.1.0.2:7740", want: true},
+		{remote: "10.1.0.2:50001", address: "10.1.0.3:7740"},
+		{remote: "10.1.0.2:50001", address: ""},
+		{remote: "10.1.0.2:50001", address: "10.1.0.2"},
+		{remote: "", address: ""},
+	}
+	for _, tt := range tests {
+		ctx := context.WithValue(t.Context(), callerKey{}, tt.remote)
+		is.New(t).Equal(isCaller(ctx, tt.address), tt.want)
+	}
+}
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
 
+	"bronzedoor.dev/bronzedoor/internal/body"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
@@ -117,12 +117,12 @@
 	return out, nil
 }
 
-// unpack returns the objects of a compressed Batch. Data beyond maxUnpacked is
-// cut off.
-func unpack(body []byte) ([]*rpc.Object, error) {
-	r := flate.NewReader(bytes.NewReader(body))
+// unpack returns the objects of a compressed Batch. It returns an error if they are
+// larger than maxUnpacked.
+func unpack(packed []byte) ([]*rpc.Object, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
 	defer r.Close()
-	plain, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
+	plain, err := body.Read(r, maxUnpacked)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"bronzedoor.dev/bronzedoor/internal/body"
 	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/mirror/rpc"
 )
@@ -129,3 +131,14 @@
 		is.New(t).Equal(again, got)
 	})
 }
+
+// TestUnpackTooLarge decompresses more than is allowed. What was cut off there once
+// looked like a whole batch of fewer objects, or like a broken message.
+func TestUnpackTooLarge(t *testing.T) {
+	packed, err := pack([]feed.Object{{Name: "o", Body: make([]byte, maxUnpacked)}})
+	is := is.New(t)
+	is.NoErr(err)
+	_, err = unpack(packed)
+	var long *body.TooLongError
+	is.True(errors.As(err, &long))
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -145,27 +145,51 @@
 	}
 }
 
-// Sweep removes up to limit claims that are at least as old as Retention. It
-// returns how many it removed.
+// sweepPage is the number of claims that Sweep reads at a time.
+const sweepPage = 400
+
+// Sweep removes up to limit claims that are at least as old as Retention, and returns
+// how many it removed. It reads the claims page by page, in the order of their last
+// change, until one is younger: those after it were created later or at about the
+// same time.
 func (c *Claims) Sweep(ctx context.Context, limit int, now time.Time) (int, error) {
-	page, err := c.Store.Changes(ctx, []object.Kind{object.KindClaim}, 0, 4*limit, 0)
-	if err != nil {
-		return 0, err
-	}
+	var since uint64
 	n := 0
-	for _, o := range page.Objects {
-		var record object.Claim
-		if o.Deleted || n == limit || object.Decode(o.Body, &record) != nil {
-			continue
+	for {
+		page, err := c.Store.Changes(ctx, []object.Kind{object.KindClaim}, since, sweepPage, 0)
+		if err != nil {
+			return n, err
 		}
-		if now.Sub(time.Unix(record.CreatedUnix, 0)) < Retention {
-			continue
+		for _, o := range page.Objects {
+			var record object.Claim
+			if o.Deleted || object.Decode(o.Body, &record) != nil {
+				continue
+			}
+			if n == limit || now.Sub(time.Unix(record.CreatedUnix, 0)) < Retention {
+				return n, nil
+			}
+			removed, err := c.remove(ctx, o)
+			if err != nil {
+				return n, err
+			}
+			n += removed
 		}
-		o.Deleted = true
-		if _, err := c.Store.Put(ctx, o); err != nil {
-			return n, fmt.Errorf("remove claim %s: %w", o.Name, err)
+		if !page.More {
+			return n, nil
 		}
-		n++
+		since = page.Revision
+	}
+}
+
+// remove removes a claim and returns 1, or 0 if another daemon has changed it.
+func (c *Claims) remove(ctx context.Context, o object.Object) (int, error) {
+	o.Deleted = true
+	_, err := c.Store.Put(ctx, o)
+	switch {
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		return 0, nil
+	case err != nil:
+		return 0, fmt.Errorf("remove claim %s: %w", o.Name, err)
 	}
-	return n, nil
+	return 1, nil
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -140,3 +141,20 @@
 	is.NoErr(err)
 	is.Equal(n, 1)
 }
+
+// TestSweepSkipsRemoved sweeps while more removed claims are listed first than a page
+// holds. Sweeping once stopped at the end of the first page.
+func TestSweepSkipsRemoved(t *testing.T) {
+	is := is.New(t)
+	c := newClaims(t, fakes.NewStore(1))
+	for i := range sweepPage + 1 {
+		claim, _, err := c.Acquire(t.Context(), "caller", fmt.Sprint("removed", i), "digest")
+		is.NoErr(err)
+		claim.Release(t.Context())
+	}
+	_, _, err := c.Acquire(t.Context(), "caller", "kept", "digest")
+	is.NoErr(err)
+	n, err := c.Sweep(t.Context(), 10, time.Now().Add(Retention+time.Minute))
+	is.NoErr(err)
+	is.Equal(n, 1)
+}
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -25,7 +25,6 @@
 	stableTime    = 2 * time.Second        // how long candidates must be unchanged before blocks move
 	warmInterval  = 10 * time.Second       // between full reports of warm upstreams to co-owners
 	callTimeout   = 2 * time.Second        // of one call to a peer
-	maxListAge    = 5 * time.Second        // age up to which the VM list may be used for a transfer
 )
 
 // maxWarmUpdates is the number of queued updates; the oldest are dropped.
--- a/internal/peer/detector.go
+++ b/internal/peer/detector.go
@@ -325,6 +325,7 @@
 	}
 	d.merge(Decode(m.Members))
 	d.mu.Lock()
+	d.dropProbes(m.From)
 	d.respond(p.From, &m)
 	mismatch := m.Digest != d.table.Digest()
 	d.mu.Unlock()
@@ -336,6 +337,16 @@
 	}
 }
 
+// dropProbes drops the pings of a member that has just been heard from: it is up,
+// even if the ack of one of them is lost or late.
+func (d *Detector) dropProbes(identity string) {
+	for n, p := range d.probes {
+		if p.target == identity {
+			delete(d.probes, n)
+		}
+	}
+}
+
 func (d *Detector) respond(from string, m *wire.Beat) {
 	switch m.Type {
 	case wire.Beat_PING:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -217,3 +217,19 @@
 		is.Equal(f.countDown(1), 0)
 	})
 }
+
+// TestHeardMemberIsNotMarkedDown loses the ack of one ping, while other messages of
+// the member come in.
+func TestHeardMemberIsNotMarkedDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		defer f.stop()
+		d, other := f.detectors[0], f.detectors[1].Self.Identity
+		d.mu.Lock()
+		d.probes[1<<40] = &probe{target: other, deadline: time.Now().Add(relayTimeout), relayed: true}
+		d.mu.Unlock()
+		time.Sleep(2 * PingInterval)
+		is.Equal(f.countDown(1), 0)
+	})
+}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -46,7 +46,7 @@
 			is := is.New(t)
 			var v Versions
 			for _, r := range tt.reports {
-				v.Record(r.cell, 1, r.newest, now)
+				v.Record(r.cell, r.newest, now)
 			}
 			got, ok := v.Snapshot(s)
 			is.Equal(ok, tt.ok)
@@ -82,7 +82,7 @@
 			is := is.New(t)
 			var v Versions
 			for _, cell := range tt.reports {
-				v.Record(cell, 1, 5, time.Unix(0, 0))
+				v.Record(cell, 5, time.Unix(0, 0))
 			}
 			s := &conf.Service{Name: "s", Layouts: []conf.Layout{tt.layout}}
 			whole, ok := v.Snapshot(s)
--- a/internal/plan/versions.go
+++ b/internal/plan/versions.go
@@ -11,9 +11,8 @@
 	"bronzedoor.dev/bronzedoor/pkg/query"
 )
 
-// A versionRange is the range of versions that every shard of a cell can serve.
-type versionRange struct {
-	oldest     uint64
+// A report is the newest version that every shard of a cell can serve.
+type report struct {
 	newest     uint64 // 0 if unknown
 	reportedAt time.Time
 }
@@ -21,22 +20,22 @@
 // Versions holds the versions that each cell can serve, as reported in replies.
 // The zero value is empty and ready to use. It is safe for concurrent use.
 type Versions struct {
-	mu     sync.Mutex
-	ranges map[string]versionRange // by cell name
+	mu      sync.Mutex
+	reports map[string]report // by cell name
 }
 
-// Record sets the range of versions that a cell can serve, as reported at now. It
-// does nothing if newest is 0, which means that the versions are unknown.
-func (v *Versions) Record(cell string, oldest, newest uint64, now time.Time) {
+// Record sets the newest version that a cell can serve, as reported at now. It does
+// nothing if newest is 0, which means that the version is unknown.
+func (v *Versions) Record(cell string, newest uint64, now time.Time) {
 	if newest == 0 {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.ranges == nil {
-		v.ranges = make(map[string]versionRange)
+	if v.reports == nil {
+		v.reports = make(map[string]report)
 	}
-	v.ranges[cell] = versionRange{oldest: oldest, newest: newest, reportedAt: now}
+	v.reports[cell] = report{newest: newest, reportedAt: now}
 }
 
 // Snapshot returns the newest snapshot that every cell of the service can serve.
@@ -80,7 +79,7 @@
 func (v *Versions) commonVersion(l *conf.Layout) uint64 {
 	version, known := v.knownVersion(l)
 	for g := range l.Cells {
-		if v.ranges[l.Cells[g].Name].newest == 0 && outOfRotation(&l.Cells[g]) {
+		if v.reports[l.Cells[g].Name].newest == 0 && outOfRotation(&l.Cells[g]) {
 			known++
 		}
 	}
@@ -91,11 +90,10 @@
 }
 
 // knownVersion returns the newest version that all cells with known versions can
-// serve, 0 if there are none, and the number of these cells. If the ranges do not
-// overlap, it returns the one that most of the cells may still reach.
+// serve, 0 if there are none, and the number of these cells.
 func (v *Versions) knownVersion(l *conf.Layout) (version uint64, known int) {
 	for g := range l.Cells {
-		r := v.ranges[l.Cells[g].Name]
+		r := v.reports[l.Cells[g].Name]
 		if r.newest == 0 {
 			continue
 		}
@@ -129,7 +127,7 @@
 	defer v.mu.Unlock()
 	var out []int
 	for g := range l.Cells {
-		r, ok := v.ranges[object.CellName(l.Service, l.Number, g)]
+		r, ok := v.reports[object.CellName(l.Service, l.Number, g)]
 		if !ok || now.Sub(r.reportedAt) >= maxAge {
 			out = append(out, g)
 		}
--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +110,45 @@
 		})
 	}
 }
+
+// TestOlderShareIsNotApplied changes the share while SetUpstreams is about to apply
+// the one that it has read. Once, the older share then held until the next
+// maintenance.
+func TestOlderShareIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	read, proceed := make(chan struct{}), make(chan struct{})
+	var blockNext atomic.Bool
+	p := &Proxy{LimitShare: func() float64 {
+		if blockNext.CompareAndSwap(true, false) {
+			close(read)
+			<-proceed
+			return 1
+		}
+		return 0
+	}}
+	p.SetLimits(Limits{BudgetSlack: 100, BudgetWindow: budgetWindow})
+	p.group("single")
+	blockNext.Store(true)
+	done := make(chan struct{}, 2)
+	go (&shareUpdater{update: p.UpdateShare, done: done}).run()
+	<-read
+	go (&shareUpdater{update: func() { p.SetUpstreams(&roster.View{}) }, done: done}).run()
+	go (&shareUpdater{update: p.UpdateShare, done: done}).run()
+	time.Sleep(20 * time.Millisecond) // enough for the second update, unless it waits
+	close(proceed)
+	for range 3 {
+		<-done
+	}
+	is.True(!p.group("single").budget.Take(time.Now().Add(time.Hour)))
+}
+
+// A shareUpdater calls update once.
+type shareUpdater struct {
+	update func()
+	done   chan<- struct{}
+}
+
+func (u *shareUpdater) run() {
+	u.update()
+	u.done <- struct{}{}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -78,7 +78,6 @@
 // A Proxy serves requests by sending them to upstreams. Set the exported fields,
 // then call Start.
 type Proxy struct {
-	Domain     string // failure domain of this daemon
 	Region     string
 	Codec      *client.Codec
 	Dial       func(ctx context.Context, address string) (net.Conn, error)
@@ -91,6 +90,10 @@
 	Log          *event.Log
 	Metrics      *Metrics // may be nil
 
+	// shareMu is held while this daemon's share of the limits is read and applied,
+	// so that an older share never replaces a newer one.
+	shareMu sync.Mutex
+
 	mu         sync.Mutex
 	limits     Limits
 	groups     map[string]*group        // by service
@@ -163,6 +166,8 @@
 // UpdateShare applies the current value of LimitShare to all services and their
 // upstreams. Call it when the share has changed.
 func (p *Proxy) UpdateShare() {
+	p.shareMu.Lock()
+	defer p.shareMu.Unlock()
 	share := p.LimitShare()
 	for _, g := range p.allGroups() {
 		g.setBudget(p.currentLimits(), share, p.rampUp())
@@ -220,6 +225,8 @@
 
 // SetUpstreams replaces the upstreams of all services by those of the view.
 func (p *Proxy) SetUpstreams(v *roster.View) {
+	p.shareMu.Lock()
+	defer p.shareMu.Unlock()
 	share := p.LimitShare()
 	for name, infos := range v.Services {
 		g := p.group(name)
--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -98,7 +98,6 @@
 	dial := s.network.Dialer("daemon")
 	s.limitShare.Store(200)
 	s.proxy = &Proxy{
-		Domain:     "d0",
 		Region:     "r0",
 		Codec:      fakes.ReplicaCodec(),
 		Dial:       func(ctx context.Context, a string) (net.Conn, error) { return dial(ctx, "tcp", a) },
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -44,9 +44,9 @@
 // upstream turns out to have restarted, its limit may have dropped; then openConn
 // keeps the connection as idle and returns an error, so that nothing is sent.
 func (s *shard) openConn(ctx context.Context, u *upstream) (*search.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connTimeout)
+	openCtx, cancel := context.WithTimeout(ctx, connTimeout)
 	defer cancel()
-	c, err := search.Open(ctx, u.address, s.dial)
+	c, err := search.Open(openCtx, u.address, s.dial)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/relay/shard.go
+++ b/internal/relay/shard.go
@@ -102,7 +102,7 @@
 // closeExcess closes idle connections while more are open than the daemon has
 // permits for. To an upstream that is out of rotation it closes all idle ones.
 func (s *shard) closeExcess(u *upstream) {
-	for len(u.idleConns) > 0 && (u.openConns > u.limiter.Max || u.conf.Excluded) {
+	for len(u.idleConns) > 0 && (u.openConns-u.closing > u.limiter.Max || u.conf.Excluded) {
 		c := u.idleConns[len(u.idleConns)-1]
 		u.idleConns = u.idleConns[:len(u.idleConns)-1]
 		s.closeConn(u, c)
@@ -113,6 +113,7 @@
 // has had time to notice.
 func (s *shard) closeConn(u *upstream, c *search.Conn) {
 	c.Close()
+	u.closing++
 	time.AfterFunc(closeLinger, func() { s.connClosed(u) })
 }
 
@@ -121,6 +122,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u.openConns--
+	u.closing--
 	s.dispatch(time.Now())
 }
 
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -27,6 +27,7 @@
 	limiter     limit.Adaptive // limits the requests in flight
 	inFlight    int            // requests that have acquired the upstream
 	openConns   int            // connections that are open, being opened, or closed within closeLinger
+	closing     int            // those of openConns that have been closed
 	idleConns   []*search.Conn // open connections that are not in use
 	meanLatency time.Duration  // moving mean of replies and of requests past their deadline; 0 if unknown
 	sampledAt   time.Time      // time of the last change of meanLatency
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -136,7 +136,6 @@
 	d.reaper = &reaper{daemon: d}
 	d.roster = roster.New()
 	d.Flow = &proxy.Proxy{
-		Domain:       d.Settings.Domain,
 		Region:       d.Settings.Region,
 		Codec:        d.Codec,
 		Dial:         d.Dial,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -98,5 +98,7 @@
 // Stop closes the listener, and returns when the requests in flight have finished
 // or with an error when ctx ends first.
 func (s *server) Stop(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
+	err := s.http.Shutdown(ctx)
+	s.goroutines.Stop()
+	return err
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -14,13 +14,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/body"
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/object"
@@ -178,9 +178,9 @@
 
 // call sends one request and decodes the JSON response into out. target is the
 // URL without its scheme, and match is the expected revision of a write.
-func (c *Client) call(ctx context.Context, step fault.Step, method, target string, body []byte, match string, out any) error {
+func (c *Client) call(ctx context.Context, step fault.Step, method, target string, content []byte, match string, out any) error {
 	host, _, _ := strings.Cut(target, "/")
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+target, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target, bytes.NewReader(content))
 	if err != nil {
 		return fault.Wrap(err, step, host)
 	}
@@ -195,7 +195,7 @@
 		return fault.Wrap(outcomeUnknown(write, err), step, host)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	b, err := body.Read(resp.Body, maxResponse)
 	if err != nil {
 		return fault.Wrap(outcomeUnknown(write, err), step, host)
 	}
