--- a/internal/proxy/gather.go
+++ b/internal/proxy/gather.go
@@ -20,6 +20,7 @@
 	sends    int      // attempts sent for all shards
 	parts    [][]byte // reply bodies, one for each shard that answered
 	proofs   []string // proofs of these replies
+	requests []*shardRequest
 	resolved []bool   // shards with an outcome
 	missing  []string // shards without a part, each with a reason
 }
@@ -55,6 +56,7 @@
 		r.queueLate = true
 		r.startLate = n-b.late < c.minParts
 		answerBy = r.answerBy
+		c.requests = append(c.requests, r)
 		go r.run(ctx)
 	}
 	timer := time.NewTimer(time.Until(answerBy))
@@ -148,9 +150,10 @@
 	n := len(c.request.Route.Shards)
 	reason := ""
 	if len(c.parts) < n {
+		now := time.Now()
 		for i, resolved := range c.resolved {
 			if !resolved {
-				c.missing = append(c.missing, fmt.Sprintf("%d: no result yet", i))
+				c.missing = append(c.missing, fmt.Sprintf("%d: %s", i, c.requests[i].progress(now)))
 			}
 		}
 		reason = fmt.Sprintf("%d of %d shards, missing %v", len(c.parts), n, c.missing)
--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -27,6 +27,7 @@
 	replicas   map[string][]*fakes.Replica // by service
 	upstreams  map[string][]*roster.Upstream
 	table      *route.Table
+	extra      []*Proxy     // further proxies, stopped at the end
 	requests   int          // sent by send and sendCtx
 	limitShare atomic.Int64 // value of LimitShare, in thousandths
 }
@@ -95,20 +96,26 @@
 		{Name: "write", Host: "h", Prefix: "/write/", Service: "single", MaxAttempts: 2, LatencyTarget: objective, Timeout: deadline},
 		{Name: "home", Host: "h", Prefix: "/home/", Service: "single", Idempotent: true, MaxAttempts: 3, LatencyTarget: objective, Timeout: deadline, Regions: []string{"r2"}},
 	}})
-	dial := s.network.Dialer("daemon")
 	s.limitShare.Store(200)
-	s.proxy = &Proxy{
+	s.proxy = s.newProxy("daemon")
+	s.proxy.SetTable(s.table)
+	s.publish()
+}
+
+// newProxy starts a proxy without a table and upstreams. name is its address.
+func (s *scenario) newProxy(name string) *Proxy {
+	dial := s.network.Dialer(name)
+	p := &Proxy{
 		Region:     "r0",
 		Codec:      fakes.ReplicaCodec(),
 		Dial:       func(ctx context.Context, a string) (net.Conn, error) { return dial(ctx, "tcp", a) },
 		LimitShare: func() float64 { return float64(s.limitShare.Load()) / 1000 },
 	}
-	s.proxy.SetLimits(Limits{BudgetRatio: 0.2, BudgetSlack: 56, BudgetWindow: budgetWindow, ColdFactor: 1.5, ColdSlack: 5})
-	if err := s.proxy.Start(context.Background()); err != nil {
+	p.SetLimits(Limits{BudgetRatio: 0.2, BudgetSlack: 56, BudgetWindow: budgetWindow, ColdFactor: 1.5, ColdSlack: 5})
+	if err := p.Start(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
-	s.proxy.SetTable(s.table)
-	s.publish()
+	return p
 }
 
 // publish passes the current upstreams to the proxy.
@@ -118,6 +125,11 @@
 
 // stop stops the proxy and the replicas.
 func (s *scenario) stop() {
+	for _, p := range s.extra {
+		if err := p.Stop(context.Background()); err != nil {
+			s.t.Error(err)
+		}
+	}
 	if err := s.proxy.Stop(context.Background()); err != nil {
 		s.t.Fatal(err)
 	}
@@ -145,8 +157,13 @@
 
 // serve sends a request with the given ID. It is safe for concurrent use.
 func (s *scenario) serve(ctx context.Context, id, path string) Answer {
+	return s.serveBy(ctx, s.proxy, id, path)
+}
+
+// serveBy is like serve, for any proxy.
+func (s *scenario) serveBy(ctx context.Context, p *Proxy, id, path string) Answer {
 	now := time.Now()
-	return s.proxy.Serve(ctx, &Request{
+	return p.Serve(ctx, &Request{
 		Payload:  &client.Request{ID: id, Method: http.MethodGet, Target: path, Host: "h"},
 		Table:    s.table,
 		Route:    s.table.Match("h", path),
--- a/internal/proxy/shardrequest.go
+++ b/internal/proxy/shardrequest.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/client"
@@ -27,6 +29,8 @@
 	done      <-chan struct{} // closed when the caller's request has been answered
 	outcomes  chan<- outcome  // receives the only outcome
 
+	firstSend atomic.Pointer[sendRecord] // first attempt; nil while the request waits in the queue
+
 	tried      []*upstream        // upstreams that an attempt was made to; excluded from further ones
 	runs       int                // upstreams on which the request may have run or may still run
 	sends      int                // attempts sent, without those that turned out as Unsent
@@ -43,6 +47,21 @@
 	charged  bool // the attempt was charged to the budget
 }
 
+// A sendRecord says when and where a shard request was sent.
+type sendRecord struct {
+	at       time.Time
+	upstream string // ID
+}
+
+// progress describes a shard request without an outcome, for the log.
+func (r *shardRequest) progress(now time.Time) string {
+	s := r.firstSend.Load()
+	if s == nil {
+		return "in the queue"
+	}
+	return fmt.Sprintf("sent to %s %d ms ago", s.upstream, now.Sub(s.at).Milliseconds())
+}
+
 // An outcome is the final result of a shard request.
 type outcome struct {
 	shard  int          // number of the shard
@@ -236,6 +255,7 @@
 
 // send starts an attempt whose upstream was returned by acquire.
 func (r *shardRequest) send(ctx context.Context, a *attempt) {
+	r.firstSend.CompareAndSwap(nil, &sendRecord{at: a.started, upstream: a.upstream.info.ID})
 	r.tried = append(r.tried, a.upstream)
 	r.runs++
 	r.sends++
