--- a/internal/proxy/gather.go
+++ b/internal/proxy/gather.go
@@ -15,14 +15,14 @@
 // A collector collects the replies to the shard requests of one request.
 type collector struct {
 	request  *Request
-	minParts int      // fewest parts for a successful answer
-	pending  int      // shards without an outcome yet
-	sends    int      // attempts sent for all shards
-	parts    [][]byte // reply bodies, one for each shard that answered
-	proofs   []string // proofs of these replies
-	requests []*shardRequest
-	resolved []bool   // shards with an outcome
-	missing  []string // shards without a part, each with a reason
+	minParts int             // fewest parts for a successful answer
+	pending  int             // shards without an outcome yet
+	sends    int             // attempts sent for all shards
+	parts    [][]byte        // reply bodies, one for each shard that answered
+	proofs   []string        // proofs of these replies
+	requests []*shardRequest // by shard
+	resolved []bool          // shards with an outcome
+	missing  []string        // shards without a part, each with a reason
 }
 
 // minPartsFor returns how many of n shards make up the fraction; at least 1.
