--- a/internal/proxy/scenario_test.go
+++ b/internal/proxy/scenario_test.go
@@ -118,6 +118,14 @@
 	return p
 }
 
+// restartProxy replaces the proxy by a new one, which knows nothing of the old one.
+func (s *scenario) restartProxy() {
+	if err := s.proxy.Stop(context.Background()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.proxy = s.newProxy("daemon")
+}
+
 // publish passes the current upstreams to the proxy.
 func (s *scenario) publish() {
 	s.proxy.SetUpstreams(&roster.View{Services: maps.Clone(s.upstreams)})
