client, platform, proxy: decode and log the rate limit that an upstream states

Callers saw nothing, and neither did operators: no line or counter mentioned that an upstream states how many requests per second it takes, so a limit that is not read could not be told from one that is read and not kept. Replies now carry it (client.RateLimit), line 815 logs a change, and a counter counts the replies.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -53,9 +53,18 @@
 	Body        []byte        // complete
 	Proof       string        // the upstream's proof of its response; may be empty
 	ColdFor     time.Duration // how much longer the upstream says it stays cold; 0 if it doesn't say
-	AtConnLimit bool          // the first request on a new connection had an unknown outcome: the upstream is taken to be at its connection limit
-	SentAt      time.Time     // when the request was written; zero if it wasn't
-	Err         error         // why there is no response
+	RateLimit   RateLimit
+	AtConnLimit bool      // the first request on a new connection had an unknown outcome: the upstream is taken to be at its connection limit
+	SentAt      time.Time // when the request was written; zero if it wasn't
+	Err         error     // why there is no response
+}
+
+// A RateLimit is what a reply says about the rate of requests that the upstream takes
+// from all daemons together. The zero value says nothing.
+type RateLimit struct {
+	Known     bool    // the reply says whether there is a limit
+	Limited   bool    // there is one; only if Known
+	PerSecond float64 // the limit in requests per second, finite and not negative; 0 unless Limited
 }
 
 // A Codec defines the headers that are exchanged with an upstream.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,6 +53,7 @@
 	UpstreamDown         ID = 812
 	UpstreamUp           ID = 813
 	MemberExpired        ID = 814
+	RateLimitChanged     ID = 815
 	LinesSuppressed      ID = 900
 )
 
@@ -114,6 +115,7 @@
 		{ID: UpstreamDown, Name: "upstream out of use", Level: logrus.WarnLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: UpstreamUp, Name: "upstream in use again", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: MemberExpired, Name: "member record expired", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
+		{ID: RateLimitChanged, Name: "rate limit of an upstream changed", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: LinesSuppressed, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -16,6 +16,7 @@
 	missed         *prometheus.CounterVec
 	attempts       *prometheus.CounterVec
 	attemptSeconds *prometheus.CounterVec
+	limitedReplies *prometheus.CounterVec
 }
 
 // NewMetrics creates metrics and registers them with r. It panics if one of them is
@@ -44,7 +45,11 @@
 		Name: "bronzedoor_sent_seconds_total",
 		Help: "Time that requests spent at upstreams and on the way, by service.",
 	}, []string{"service"})
-	r.MustRegister(m.answers, m.latency, m.missed, m.attempts, m.attemptSeconds)
+	m.limitedReplies = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzedoor_rate_limited_replies_total",
+		Help: "Replies in which an upstream states a rate limit, by service.",
+	}, []string{"service"})
+	r.MustRegister(m.answers, m.latency, m.missed, m.attempts, m.attemptSeconds, m.limitedReplies)
 	return m
 }
 
@@ -66,12 +71,15 @@
 	}
 }
 
-// observeAttempt records the result of an attempt at an upstream of the service.
-func (m *Metrics) observeAttempt(service string, result client.Result, took time.Duration) {
+// observeAttempt records the reply to an attempt at an upstream of the service.
+func (m *Metrics) observeAttempt(service string, re client.Reply, took time.Duration) {
 	if m == nil {
 		return
 	}
-	m.attempts.WithLabelValues(service, result.String()).Inc()
+	if re.RateLimit.Limited {
+		m.limitedReplies.WithLabelValues(service).Inc()
+	}
+	m.attempts.WithLabelValues(service, re.Result.String()).Inc()
 	m.attemptSeconds.WithLabelValues(service).Add(took.Seconds())
 }
 
@@ -84,4 +92,5 @@
 	labels := prometheus.Labels{"service": service}
 	m.attempts.DeletePartialMatch(labels)
 	m.attemptSeconds.DeletePartialMatch(labels)
+	m.limitedReplies.DeletePartialMatch(labels)
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -31,6 +31,7 @@
 	replica  *health.Replica // health and load
 	pool     *client.Pool
 	coldRate limit.RateLimiter // of requests while the upstream is cold
+	rate     limit.StatedRate  // that the upstream states in its replies
 	// maxLate is the number of requests that may be in flight when a late one
 	// is sent, counting it; 0 counts as 1, as in health.Replica.
 	maxLate atomic.Int32
@@ -159,7 +160,7 @@
 	now := time.Now()
 	u.replica.End(started)
 	u.record(now, now.Sub(started), re, stats)
-	u.proxy.Metrics.observeAttempt(u.group.name, re.Result, now.Sub(started))
+	u.proxy.Metrics.observeAttempt(u.group.name, re, now.Sub(started))
 	u.group.queue.wake()
 	return re
 }
@@ -171,6 +172,9 @@
 	if re.ColdFor > 0 {
 		u.replica.SetCold(now.Add(re.ColdFor))
 	}
+	if re.RateLimit.Known {
+		u.recordRateLimit(re, now)
+	}
 	switch re.Result {
 	case client.Succeeded:
 		took = max(took-u.rtt(), 0)
@@ -203,6 +207,20 @@
 	}
 }
 
+// recordRateLimit records what a reply says about the upstream's rate limit, and
+// logs a change.
+func (u *upstream) recordRateLimit(re client.Reply, now time.Time) {
+	l := re.RateLimit
+	if !u.rate.Observe(l.Limited, l.PerSecond, re.SentAt, now) {
+		return
+	}
+	text := "no limit"
+	if l.Limited {
+		text = fmt.Sprintf("%.4g requests/s, share %.4g", l.PerSecond, u.proxy.LimitShare())
+	}
+	u.proxy.Log.Emit(event.RateLimitChanged, event.Fields{Step: "send", Peer: u.info.Address, Class: u.info.Service, Detail: u.info.ID + ": " + text})
+}
+
 // failureText describes why there is no reply.
 func failureText(re client.Reply) string {
 	if re.Err == nil {
