--- a/internal/fakes/replica.go
+++ b/internal/fakes/replica.go
@@ -17,6 +17,7 @@
 	headerUpstreamID = "Meant"
 	headerProof      = "Proof"
 	headerNotRun     = "Unrun"
+	headerRateLimit  = "Rate-Limit"
 )
 
 // A ReplicaBehavior says how a Replica serves requests. The zero value answers at once.
@@ -27,6 +28,7 @@
 	FailShare    float64       // share of requests that run and then fail, from 0 to 1
 	WrongRequest bool          // answers carry the ID of another request
 	ResetConn    bool          // requests run, then the connection is reset
+	RateLimit    float64       // requests per second that answers state as the limit; 0 for no limit
 }
 
 // A Replica is a fake upstream. It serves up to Slots requests at a time, queues
@@ -155,6 +157,9 @@
 		p.OnRequest(id)
 	}
 	n, rejected := p.admit()
+	if n.RateLimit > 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(n.RateLimit, 'g', -1, 64))
+	}
 	if rejected {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -221,5 +226,9 @@
 	default:
 		re.Result = client.Failed
 	}
+	if re.Result != client.Moved && re.Result != client.Unknown {
+		rate, err := strconv.ParseFloat(resp.Header.Get(headerRateLimit), 64)
+		re.RateLimit = client.RateLimit{Known: true, Limited: err == nil, PerSecond: rate}
+	}
 	return re
 }
