proxy, limit: keep to the rate limits that upstreams state

Cause: the limit in their answers was not used. An upstream's own statement about its load had no place in the decision where a request goes. First attempts, retries and hedges go through one admission together with the rate of cold upstreams; hedges leave limited upstreams alone. A request that all upstreams' limits would keep waiting too long is refused at once, with the time after which there is room. A waiting request is woken when a limit allows one more, also the limit of a cold upstream, which once had to wait for another attempt to end.

--- a/internal/limit/ratelimiter.go
+++ b/internal/limit/ratelimiter.go
@@ -60,6 +60,17 @@
 	return r.available(now)
 }
 
+// Wait returns how long it takes until Available may report true; 0 if it does so
+// now. Requests that were admitted and not sent yet are not waited for.
+func (r *RateLimiter) Wait(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.available(now) || len(r.sent) == 0 {
+		return 0
+	}
+	return max(time.Second-now.Sub(r.sent[0]), time.Millisecond)
+}
+
 func (r *RateLimiter) available(now time.Time) bool {
 	for len(r.sent) > 0 && now.Sub(r.sent[0]) > time.Second {
 		r.sent = r.sent[1:]
--- a/internal/proxy/gather.go
+++ b/internal/proxy/gather.go
@@ -45,7 +45,11 @@
 	stats := p.routeStats(q.Route.Name)
 	b := p.backlog(q)
 	if n-b.overloaded < c.minParts {
-		return Answer{Kind: Refused, RetryAfter: min(max(b.longestWait, retryAfterBusy), retryAfterFull), Reason: fmt.Sprintf("%d of %d shards overloaded, queue wait %d ms", b.overloaded, n, b.longestWait.Milliseconds())}
+		return Answer{
+			Kind:       Refused,
+			RetryAfter: max(min(max(b.longestWait, retryAfterBusy), retryAfterFull), b.rateLimitWait),
+			Reason:     fmt.Sprintf("%d of %d shards overloaded, queue wait %d ms, rate limit wait %d ms", b.overloaded, n, b.longestWait.Milliseconds(), b.rateLimitWait.Milliseconds()),
+		}
 	}
 	outcomes := make(chan outcome, n)
 	var answerBy time.Time
@@ -82,7 +86,10 @@
 type backlog struct {
 	late        int           // shards at which the request could not be on time
 	overloaded  int           // of these, shards at which it would wait too long even as a late request
-	longestWait time.Duration // longest expected wait of an on-time request
+	longestWait time.Duration // longest expected wait of an on-time request in a queue
+	// rateLimitWait is the longest wait because all upstreams of a shard state rate
+	// limits.
+	rateLimitWait time.Duration
 }
 
 // backlog estimates the waits in the queues of all shards of a request, so that
@@ -94,13 +101,18 @@
 	maxOnTime := time.Duration(maxOnTimeShare * float64(latencyObjective(q.Route)))
 	maxLate := time.Duration(maxLateShare * float64(q.Deadline.Sub(now)))
 	var b backlog
+	c := &criteria{request: q}
 	for _, service := range q.Route.Shards {
-		onTime, late := p.group(service).queue.expectedWait(q.Route.Priority, now)
+		g := p.group(service)
+		onTime, late := g.queue.expectedWait(q.Route.Priority, now)
+		limited := p.rateLimitWait(g, c, now)
 		b.longestWait = max(b.longestWait, onTime)
-		if onTime > maxOnTime {
+		b.rateLimitWait = max(b.rateLimitWait, limited)
+		if max(onTime, limited) > maxOnTime {
 			b.late++
 		}
-		if onTime > maxOnTime && late > maxLate {
+		// A late request would only take the turn of one that can be on time.
+		if onTime > maxOnTime && late > maxLate || limited > maxOnTime {
 			b.overloaded++
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -115,6 +115,7 @@
 	mu        sync.Mutex
 	upstreams []*upstream
 	queue     waitQueue
+	wakeAt    time.Time // when a waiting request is woken next because a rate limit allows it; may be in the past
 }
 
 // Start starts background maintenance. It must be called before SetUpstreams and
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -36,12 +36,7 @@
 func (q *waitQueue) expectedWait(priority int, now time.Time) (onTime, late time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ahead := 0
-	for _, w := range q.onTime {
-		if w.priority <= priority {
-			ahead++
-		}
-	}
+	ahead := q.countAhead(priority)
 	since, n := q.busySince, q.sends
 	if ahead == 0 || n < minPaceSamples {
 		return 0, 0
@@ -53,6 +48,24 @@
 	return time.Duration(ahead) * pace, time.Duration(len(q.onTime)+len(q.late)) * pace
 }
 
+// ahead returns how many on-time waiters a request of the priority would have ahead.
+func (q *waitQueue) ahead(priority int) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.countAhead(priority)
+}
+
+// countAhead is ahead with the mutex held.
+func (q *waitQueue) countAhead(priority int) int {
+	n := 0
+	for _, w := range q.onTime {
+		if w.priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
 // A waiter is a shard request in a waitQueue.
 type waiter struct {
 	ready    chan struct{} // receives when the request is to try to send
--- a/internal/proxy/rate_test.go
+++ b/internal/proxy/rate_test.go
@@ -91,3 +91,36 @@
 		})
 	}
 }
+
+// TestRateLimitRejectsAtOnce checks that requests which exceed the rate limits of all
+// upstreams are refused without waiting, with a time after which they can be served.
+func TestRateLimitRejectsAtOnce(t *testing.T) {
+	for _, path := range []string{"/all/1", "/read/1"} {
+		t.Run(path, func(t *testing.T) {
+			runScenario(t, 1, func(s *scenario) {
+				is := is.New(s.t)
+				for _, service := range []string{"shard0", "single"} {
+					s.setAll(service, fakes.ReplicaBehavior{ServiceTime: serviceTime, RateLimit: 2})
+				}
+				for range 6 {
+					s.send(path) // each upstream states its limit
+				}
+				refused := 0
+				for range 20 {
+					a, took := s.send(path)
+					if a.Kind == Served {
+						continue
+					}
+					refused++
+					is.Equal(a.Kind, Refused)
+					is.True(took < 10*time.Millisecond)
+					is.True(a.RetryAfter >= retryAfterBusy)
+					time.Sleep(a.RetryAfter)
+					a, _ = s.send(path)
+					is.Equal(a.Kind, Served) // there is room at the time that it was told
+				}
+				is.True(refused > 0)
+			})
+		})
+	}
+}
--- a/internal/proxy/select.go
+++ b/internal/proxy/select.go
@@ -13,6 +13,7 @@
 	stats   *latencyStats
 	exclude []*upstream // upstreams already tried
 	late    bool        // it can no longer be on time and must leave slots to requests that can
+	hedge   bool        // it must leave upstreams that state a rate limit to first attempts and retries
 }
 
 // crossRegionFactor is applied to the round-trip time of an upstream in another
@@ -46,7 +47,7 @@
 	var best *upstream
 	least, busy := math.Inf(1), math.Inf(1)
 	for _, u := range g.list() {
-		if !p.usable(u, c) || u.replica.Cold(now) && !u.coldRate.Available(now) {
+		if !p.usable(u, c) || !u.admits(now) || c.hedge && u.rate.Limited() {
 			continue
 		}
 		cost := p.cost(u, c, now)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -122,7 +122,7 @@
 	case client.Failed:
 		return Answer{Kind: Relayed, Status: re.Status, Header: re.Header, Body: re.Body, Reason: "upstream failed"}
 	case client.Unsent, client.Refused, client.Moved:
-		return Answer{Kind: Refused, RetryAfter: p.retryAfter(r.group), Reason: o.reason}
+		return Answer{Kind: Refused, RetryAfter: max(p.retryAfter(r.group), p.rateLimitWait(r.group, &criteria{request: q}, time.Now())), Reason: o.reason}
 	case client.Unknown:
 		if isContextError(re.Err) {
 			return Answer{Kind: TimedOut, Reason: o.reason}
--- a/internal/proxy/shardrequest.go
+++ b/internal/proxy/shardrequest.go
@@ -75,16 +75,14 @@
 	shardRequest *shardRequest
 	upstream     *upstream
 	started      time.Time
-	cold         bool // it counts against the request rate of a cold upstream
+	admission    admission
 	charged      bool // it is charged to the budget for retries and hedges
 }
 
 // run sends the shard request and delivers the result.
 func (a *attempt) run(ctx context.Context) {
 	re := a.upstream.send(ctx, a.shardRequest.request, a.shardRequest.stats, a.started)
-	if a.cold {
-		a.upstream.coldRate.Done(re.SentAt)
-	}
+	a.admission.done(re.SentAt)
 	a.shardRequest.results <- attemptResult{upstream: a.upstream, reply: re, charged: a.charged}
 }
 
@@ -198,12 +196,12 @@
 	if u == nil {
 		return false
 	}
-	cold, ok := u.admitCold(now)
+	admission, ok := u.admit(now)
 	if !ok {
 		u.replica.End(now)
 		return false
 	}
-	r.send(ctx, &attempt{shardRequest: r, upstream: u, started: now, cold: cold})
+	r.send(ctx, &attempt{shardRequest: r, upstream: u, started: now, admission: admission})
 	return true
 }
 
@@ -214,19 +212,32 @@
 // queueWait returns how long to wait for an upstream in the queue. If waiting cannot
 // help, the time is 0 or less, and the text says why.
 func (r *shardRequest) queueWait(now time.Time, late bool) (time.Duration, string) {
-	switch r.proxy.availability(r.group, &criteria{request: r.request, stats: r.stats}, now) {
+	c := &criteria{request: r.request, stats: r.stats}
+	switch r.proxy.availability(r.group, c, now) {
 	case availNone:
 		return 0, "no upstream"
 	case availProbing:
 		return probeWait, ""
 	case availBusy:
 	}
+	if now.Add(r.proxy.rateLimitWait(r.group, c, now)).After(r.latestSend()) {
+		return 0, "rate limit"
+	}
+	r.group.wakeWhenAdmitted(r.proxy, c, now)
 	if late && r.queueLate {
 		return lateRecheck, ""
 	}
 	return r.sendBy.Sub(now), "busy"
 }
 
+// latestSend returns until when the request may wait in the queue.
+func (r *shardRequest) latestSend() time.Time {
+	if r.queueLate {
+		return r.request.Deadline
+	}
+	return r.sendBy
+}
+
 // awaitTurn waits until w is woken, the request has ended, or the wait has passed.
 // It reports whether w was woken, and whether the request has ended.
 func (r *shardRequest) awaitTurn(ctx context.Context, w *waiter, wait time.Duration) (woken, ended bool) {
@@ -243,16 +254,6 @@
 	return false, true
 }
 
-// admitCold reports whether the upstream is cold, and whether a request may be sent
-// to it. A request admitted to a cold upstream counts against its rate: Done of
-// coldRate must be called for it.
-func (u *upstream) admitCold(now time.Time) (cold, ok bool) {
-	if !u.replica.Cold(now) {
-		return false, true
-	}
-	return true, u.coldRate.Take(now)
-}
-
 // send starts an attempt whose upstream was returned by acquire.
 func (r *shardRequest) send(ctx context.Context, a *attempt) {
 	r.firstSend.CompareAndSwap(nil, &sendRecord{at: a.started, upstream: a.upstream.info.ID})
@@ -301,7 +302,7 @@
 	if ran && !r.request.Route.Idempotent || ctx.Err() != nil {
 		return false
 	}
-	return r.sendAnother(ctx, res.reply.Result == client.Unsent)
+	return r.sendAnother(ctx, res.reply.Result == client.Unsent, false)
 }
 
 // canRetryLater reports whether a retry after the failed attempt may become possible
@@ -319,22 +320,23 @@
 // sendAnother sends a further attempt, a retry or a hedge, if the limits allow it,
 // and reports whether it did. The attempt is charged to the budget unless free is
 // set and nothing has been sent so far: it then takes the place of a first attempt.
-func (r *shardRequest) sendAnother(ctx context.Context, free bool) bool {
+// hedge says that another attempt is in flight.
+func (r *shardRequest) sendAnother(ctx context.Context, free, hedge bool) bool {
 	if r.runs >= r.request.Route.MaxAttempts || r.sends >= maxSends {
 		return false
 	}
 	now := time.Now()
-	c := &criteria{request: r.request, stats: r.stats, exclude: r.tried}
+	c := &criteria{request: r.request, stats: r.stats, exclude: r.tried, hedge: hedge}
 	u := r.proxy.acquire(r.group, c, now)
 	if u == nil {
 		return false
 	}
 	free = free && r.sends == 0
-	cold, ok := u.admitCold(now)
+	admission, ok := u.admit(now)
 	if !ok || !free && !r.group.budget.Take(now) {
 		u.replica.End(now)
-		if cold && ok {
-			u.coldRate.Done(time.Time{})
+		if ok {
+			admission.done(time.Time{})
 		}
 		if !r.overBudget {
 			r.trace.addNote(r.shard, "budget")
@@ -343,7 +345,7 @@
 		return false
 	}
 	r.trace.addNote(r.shard, "resend "+u.info.ID)
-	r.send(ctx, &attempt{shardRequest: r, upstream: u, started: now, cold: cold, charged: !free})
+	r.send(ctx, &attempt{shardRequest: r, upstream: u, started: now, admission: admission, charged: !free})
 	return true
 }
 
@@ -358,7 +360,7 @@
 	if r.runs >= r.request.Route.MaxAttempts {
 		return hedgeNever
 	}
-	if r.sendAnother(ctx, r.failure.Result == client.Unsent && r.sends == 0) {
+	if r.sendAnother(ctx, r.failure.Result == client.Unsent && r.sends == 0, r.inFlight > 0) {
 		return hedgeNever
 	}
 	return hedgeRecheck
@@ -379,7 +381,7 @@
 // hedgeNetworkTime returns the time that a hedge spends on the network: one round
 // trip, and another one if a connection must be opened first.
 func (r *shardRequest) hedgeNetworkTime() time.Duration {
-	c := &criteria{request: r.request, stats: r.stats, exclude: r.tried}
+	c := &criteria{request: r.request, stats: r.stats, exclude: r.tried, hedge: true}
 	u := r.proxy.best(r.group, c, time.Now())
 	if u == nil {
 		return crossRegionRTT
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -63,6 +63,7 @@
 		coldRate = (s.ColdRate*limits.ColdFactor + limits.ColdSlack) * share
 	}
 	u.coldRate.Set(coldRate, u.proxy.rampUp())
+	u.rate.SetShare(share, u.proxy.rampUp())
 	u.maxLate.Store(int32(lateSlotFactor * float64(u.info.Slots) * share))
 }
 
