feed: log a read of the store that is ignored as too old

Callers saw routes refused with 404 and an older configuration in force after the store had come back from an older copy. Operators saw nothing: a read with a lower revision than the daemon holds was dropped without a line. Line 816 names both revisions. No logic is changed.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	UpstreamUp           ID = 813
 	MemberExpired        ID = 814
 	RateLimitChanged     ID = 815
+	StoreBehind          ID = 816
 	LinesSuppressed      ID = 900
 )
 
@@ -72,6 +73,7 @@
 	maxFailedPerSecond  = 200
 	maxPartialPerSecond = 5
 	maxChangesPerSecond = 20
+	maxBehindPerSecond  = 1
 )
 
 // Kinds returns the kinds of all events, in ascending order of their IDs.
@@ -116,6 +118,7 @@
 		{ID: UpstreamUp, Name: "upstream in use again", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: MemberExpired, Name: "member record expired", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: RateLimitChanged, Name: "rate limit of an upstream changed", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
+		{ID: StoreBehind, Name: "metadata store behind", Level: logrus.WarnLevel, MaxPerSecond: maxBehindPerSecond},
 		{ID: LinesSuppressed, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/delay"
+	"bronzedoor.dev/bronzedoor/internal/event"
 )
 
 const (
@@ -121,6 +123,7 @@
 	t.fromStore = true
 	t.storeAnswered()
 	if l.Revision < t.rev {
+		t.Log.Emit(event.StoreBehind, event.Fields{Step: "follow", Class: t.Name, Detail: fmt.Sprintf("read revision %d, held %d", l.Revision, t.rev)})
 		return nil
 	}
 	t.replaceAll(l)
