--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,7 @@
 	MemberExpired        ID = 814
 	RateLimitChanged     ID = 815
 	StoreBehind          ID = 816
+	StoreRestored        ID = 817
 	LinesSuppressed      ID = 900
 )
 
@@ -119,6 +120,7 @@
 		{ID: MemberExpired, Name: "member record expired", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: RateLimitChanged, Name: "rate limit of an upstream changed", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: StoreBehind, Name: "metadata store behind", Level: logrus.WarnLevel, MaxPerSecond: maxBehindPerSecond},
+		{ID: StoreRestored, Name: "metadata store restored", Level: logrus.WarnLevel},
 		{ID: LinesSuppressed, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,9 +5,11 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -32,15 +34,21 @@
 // An Object is the state of an object at one revision.
 type Object struct {
 	Name     string
-	Revision uint64 // of its last change
-	Deleted  bool   // the last change deleted it
-	Body     []byte // as stored; without meaning if Deleted
+	Revision Revision // of its last change
+	Deleted  bool     // the last change deleted it
+	Body     []byte   // as stored; without meaning if Deleted
+}
+
+// sameState reports whether two revisions of an object are one state of it, which a
+// restored store has in a later era.
+func (o Object) sameState(other Object) bool {
+	return o.Revision.Number() == other.Revision.Number() && bytes.Equal(o.Body, other.Body)
 }
 
 // A List holds all objects of a kind, or the changes since some revision.
 type List struct {
 	Objects  []Object
-	Revision uint64 // of the store when it was read
+	Revision Revision // of the store when it was read
 }
 
 // A Copy is what one daemon sends to another: all objects or the changes since the
@@ -63,7 +71,7 @@
 	// Watch returns the changes since a revision, and waits for the first one; after
 	// wait it returns none. It is nil for a kind whose changes can wait for the next
 	// Read.
-	Watch     func(ctx context.Context, since uint64, wait time.Duration) (List, error)
+	Watch     func(ctx context.Context, since Revision, wait time.Duration) (List, error)
 	Rank      func() int             // number of daemons that are to read the store before this one
 	RankKnown func() bool            // whether Rank is known yet; nil if it always is
 	Apply     func(changes []Object) // applies new changes; called without any if the first read finds no objects
@@ -71,19 +79,23 @@
 	// changes of that time are applied: those who apply them can then tell objects
 	// that were removed from objects that could not be renewed. It may be nil.
 	Recovered func()
-	Changed   func() // called when peers can get newer objects or a newer age; may be nil
-	Log       *event.Log
+	// Restored is called when the store has come back from an older copy, before the
+	// objects of the copy are applied: some are older than what was applied before.
+	// It may be nil.
+	Restored func()
+	Changed  func() // called when peers can get newer objects or a newer age; may be nil
+	Log      *event.Log
 
 	mu           sync.Mutex
-	objects      map[string]Object // by name
-	tombstones   map[string]uint64 // revisions of deleted objects, by name
-	compacted    uint64            // deletions up to this revision may be missing from tombstones
-	rev          uint64            // revision up to which objects is complete; 0 before the first read
-	digest       uint64            // of the names and revisions in objects
-	asOf         time.Time         // when objects was last known to be complete
-	fromStore    bool              // objects come from the store, not from a peer
-	failingSince time.Time         // start of the store's outage; zero if there is none
-	failedReads  int               // consecutive failed reads
+	objects      map[string]Object   // by name
+	tombstones   map[string]Revision // revisions of deleted objects, by name
+	compacted    Revision            // deletions up to this revision may be missing from tombstones
+	rev          Revision            // revision up to which objects is complete; 0 before the first read
+	digest       uint64              // of the names and revisions in objects
+	asOf         time.Time           // when objects was last known to be complete
+	fromStore    bool                // objects come from the store, not from a peer
+	failingSince time.Time           // start of the store's outage; zero if there is none
+	failedReads  int                 // consecutive failed reads
 	goroutines   kernel.Group
 }
 
@@ -106,7 +118,7 @@
 
 // Revision returns the revision up to which the topic is complete; 0 before the
 // first read or copy.
-func (t *Topic) Revision() uint64 {
+func (t *Topic) Revision() Revision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.rev
@@ -121,8 +133,8 @@
 
 // A Cursor describes what a daemon holds of a topic.
 type Cursor struct {
-	Revision uint64 // up to which it is complete; 0 if it holds nothing
-	Digest   uint64 // of the names and revisions of all objects held
+	Revision Revision // up to which it is complete; 0 if it holds nothing
+	Digest   uint64   // of the names and revisions of all objects held
 }
 
 // Cursor returns the topic's cursor, with which this daemon fetches from peers.
@@ -134,7 +146,8 @@
 
 // ChangesSince returns what a daemon with the given cursor lacks, and whether that
 // is anything. A daemon at the same revision with another digest has missed a
-// change and gets all objects.
+// change and gets all objects, as does one that holds objects which a restore of the
+// store has lost.
 func (t *Topic) ChangesSince(c Cursor, now time.Time) (Copy, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -142,7 +155,7 @@
 	if t.rev == 0 || c.Revision > t.rev || c.Digest == t.digest && c.Revision > 0 {
 		return out, false
 	}
-	out.Full = c.Revision < t.compacted || c.Revision == t.rev
+	out.Full = c.Revision < t.compacted || c.Revision == t.rev || c.Revision.Era() < t.rev.Era()
 	for _, o := range t.objects {
 		if out.Full || o.Revision > c.Revision {
 			out.Objects = append(out.Objects, o)
@@ -254,11 +267,12 @@
 
 // apply applies those changes that are newer than what is held, and sets the
 // revision. The mutex is held.
-func (t *Topic) apply(changes []Object, rev uint64) {
+func (t *Topic) apply(changes []Object, rev Revision) {
 	if t.objects == nil {
 		t.objects = make(map[string]Object)
-		t.tombstones = make(map[string]uint64)
+		t.tombstones = make(map[string]Revision)
 	}
+	t.noteEra(rev)
 	var accepted []Object
 	for _, o := range changes {
 		old, known := t.objects[o.Name]
@@ -278,6 +292,9 @@
 			t.digest ^= objectHash(o)
 			delete(t.tombstones, o.Name)
 			t.objects[o.Name] = o
+			if known && o.sameState(old) {
+				continue
+			}
 		}
 		accepted = append(accepted, o)
 	}
@@ -295,10 +312,22 @@
 	}
 }
 
+// noteEra logs and reports a restore of the store. rev is the revision of the objects
+// that are about to be applied. The mutex is held.
+func (t *Topic) noteEra(rev Revision) {
+	if t.rev == 0 || rev.Era() <= t.rev.Era() {
+		return
+	}
+	t.Log.Emit(event.StoreRestored, event.Fields{Step: "follow", Class: t.Name, Detail: fmt.Sprintf("revision %v after %v", rev, t.rev)})
+	if t.Restored != nil {
+		t.Restored()
+	}
+}
+
 // objectHash returns an object's part of the digest, which is the XOR of all parts.
 func objectHash(o Object) uint64 {
 	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], o.Revision)
+	binary.LittleEndian.PutUint64(b[:], uint64(o.Revision))
 	return xxhash.Sum64(append(b[:], o.Name...))
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -22,13 +22,13 @@
 // fakeStore is a store of one kind of objects, with failures chosen by a test.
 type fakeStore struct {
 	mu        sync.Mutex
-	rev       uint64
+	rev       Revision
 	objects   map[string]Object
 	changes   []Object
 	changed   chan struct{}
-	down      bool   // calls fail
-	noEvents  bool   // watches return no changes
-	compacted uint64 // a watch from an earlier revision fails with ErrCompacted
+	down      bool     // calls fail
+	noEvents  bool     // watches return no changes
+	compacted Revision // a watch from an earlier revision fails with ErrCompacted
 	reads     int
 }
 
@@ -77,7 +77,7 @@
 	return l, nil
 }
 
-func (s *fakeStore) watch(ctx context.Context, since uint64, wait time.Duration) (List, error) {
+func (s *fakeStore) watch(ctx context.Context, since Revision, wait time.Duration) (List, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -95,7 +95,7 @@
 	}
 }
 
-func (s *fakeStore) since(since uint64) (List, <-chan struct{}, error) {
+func (s *fakeStore) since(since Revision) (List, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -239,7 +239,7 @@
 		topic := &Topic{Name: "t", ReadInterval: time.Second, Read: store.read, Rank: func() int { return 0 }, RankKnown: func() bool { return false }, Apply: func([]Object) {}}
 		is.NoErr(topic.Start(context.Background()))
 		time.Sleep(startDelay - pollInterval)
-		is.Equal(topic.Revision(), uint64(0))
+		is.Equal(topic.Revision(), Revision(0))
 		time.Sleep(4 * pollInterval)
 		is.True(topic.Revision() > 0)
 		is.NoErr(topic.Stop(context.Background()))
@@ -326,7 +326,7 @@
 			}
 			lists = append(lists, l)
 		}
-		seen := make(map[string]uint64)
+		seen := make(map[string]Revision)
 		topic := &Topic{Apply: func(changes []Object) {
 			for _, o := range changes {
 				if o.Revision < seen[o.Name] {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -123,7 +123,7 @@
 	t.fromStore = true
 	t.storeAnswered()
 	if l.Revision < t.rev {
-		t.Log.Emit(event.StoreBehind, event.Fields{Step: "follow", Class: t.Name, Detail: fmt.Sprintf("read revision %d, held %d", l.Revision, t.rev)})
+		t.Log.Emit(event.StoreBehind, event.Fields{Step: "follow", Class: t.Name, Detail: fmt.Sprintf("read revision %v, held %v", l.Revision, t.rev)})
 		return nil
 	}
 	t.replaceAll(l)
--- a/internal/mirror/lease.go
+++ b/internal/mirror/lease.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/feed"
 )
 
 // Leases detects daemons that have stopped renewing their records. A record is
@@ -15,18 +17,18 @@
 
 // A lease is the state of one record.
 type lease struct {
-	revision uint64
+	revision feed.Revision
 	since    time.Time // when this revision was first seen, or the last Restart
 }
 
 // An ExpiredRecord is a record that was not renewed in time.
 type ExpiredRecord struct {
 	Name     string
-	Revision uint64 // the record may be removed at this revision only, not at a later one
+	Revision feed.Revision // the record may be removed at this revision only, not at a later one
 }
 
 // Observe records the revision of a record. A new revision renews the lease.
-func (l *Leases) Observe(name string, revision uint64, now time.Time) {
+func (l *Leases) Observe(name string, revision feed.Revision, now time.Time) {
 	if l.records == nil {
 		l.records = make(map[string]lease)
 	}
--- a/internal/mirror/load_test.go
+++ b/internal/mirror/load_test.go
@@ -35,7 +35,7 @@
 // A metaStore is a metadata store of two kinds: members (0) and upstreams (1).
 type metaStore struct {
 	mu    sync.Mutex
-	rev   uint64
+	rev   feed.Revision
 	kinds [2]map[string]feed.Object
 }
 
@@ -186,7 +186,7 @@
 			time.Sleep(4 * time.Millisecond)
 			return f.store.read(kind)
 		},
-		Watch: func(ctx context.Context, _ uint64, _ time.Duration) (feed.List, error) {
+		Watch: func(ctx context.Context, _ feed.Revision, _ time.Duration) (feed.List, error) {
 			<-ctx.Done()
 			return feed.List{}, ctx.Err()
 		},
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -157,7 +157,7 @@
 func (m *Mirror) behind(cursors []*rpc.Cursor, now time.Time) bool {
 	for _, c := range cursors {
 		t := m.topic(c.GetTopic())
-		if t != nil && c.GetSince() > t.Revision() && t.Age(now) > fallbackAge {
+		if t != nil && feed.Revision(c.GetSince()) > t.Revision() && t.Age(now) > fallbackAge {
 			return true
 		}
 	}
@@ -195,7 +195,7 @@
 		if t == nil {
 			continue
 		}
-		changes, changed := t.ChangesSince(feed.Cursor{Revision: c.GetSince(), Digest: c.GetDigest()}, now)
+		changes, changed := t.ChangesSince(feed.Cursor{Revision: feed.Revision(c.GetSince()), Digest: c.GetDigest()}, now)
 		found = found || changed
 		msg, err := m.packer.encode(t.Name, changes, c.GetSince())
 		if err != nil {
@@ -225,7 +225,7 @@
 	r := &rpc.ChangesRequest{Wait: uint32(longPoll.Milliseconds()), From: m.Fleet.Self.Address}
 	for _, t := range m.Topics {
 		c := t.Cursor()
-		r.Cursors = append(r.Cursors, &rpc.Cursor{Topic: t.Name, Since: c.Revision, Digest: c.Digest})
+		r.Cursors = append(r.Cursors, &rpc.Cursor{Topic: t.Name, Since: uint64(c.Revision), Digest: c.Digest})
 	}
 	if !precedes {
 		r.Wait = 0
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -21,7 +21,7 @@
 // rejects.
 type store struct {
 	mu      sync.Mutex
-	rev     uint64
+	rev     feed.Revision
 	blocked map[string]bool // daemons that it rejects, by name
 	reads   map[string]int  // by daemon
 }
@@ -39,7 +39,7 @@
 	s.blocked[name] = true
 }
 
-func (s *store) revision() uint64 {
+func (s *store) revision() feed.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rev
@@ -128,7 +128,7 @@
 		Name:         "t",
 		ReadInterval: time.Second,
 		Read:         func(context.Context) (feed.List, error) { return s.read(m.Name) },
-		Watch: func(ctx context.Context, _ uint64, wait time.Duration) (feed.List, error) {
+		Watch: func(ctx context.Context, _ feed.Revision, wait time.Duration) (feed.List, error) {
 			<-ctx.Done()
 			return feed.List{}, ctx.Err()
 		},
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -34,7 +34,7 @@
 // packed is a compressed copy and what it was made from.
 type packed struct {
 	since    uint64 // the copy holds changes after this revision; 0 for a whole copy
-	revision uint64
+	revision feed.Revision
 	digest   uint64 // of the topic's contents
 	body     []byte
 }
@@ -42,7 +42,7 @@
 // encode returns the message for a copy of a topic, compressed if it is large.
 // The copy is whole, or holds what changed after since.
 func (p *packer) encode(topic string, c feed.Copy, since uint64) (*rpc.Copy, error) {
-	out := &rpc.Copy{Topic: topic, Whole: c.Full, Revision: c.Revision, Age: uint32(c.Age.Milliseconds())}
+	out := &rpc.Copy{Topic: topic, Whole: c.Full, Revision: uint64(c.Revision), Age: uint32(c.Age.Milliseconds())}
 	if c.Full {
 		since = 0
 	}
@@ -80,7 +80,7 @@
 func toMessages(objects []feed.Object) []*rpc.Object {
 	out := make([]*rpc.Object, 0, len(objects))
 	for _, o := range objects {
-		out = append(out, &rpc.Object{Name: o.Name, Revision: o.Revision, Gone: o.Deleted, Body: o.Body})
+		out = append(out, &rpc.Object{Name: o.Name, Revision: uint64(o.Revision), Gone: o.Deleted, Body: o.Body})
 	}
 	return out
 }
@@ -110,9 +110,9 @@
 		}
 	}
 	out := feed.Copy{Full: c.GetWhole(), Age: milliseconds(c.GetAge())}
-	out.Revision = c.GetRevision()
+	out.Revision = feed.Revision(c.GetRevision())
 	for _, o := range objects {
-		out.Objects = append(out.Objects, feed.Object{Name: o.GetName(), Revision: o.GetRevision(), Deleted: o.GetGone(), Body: o.GetBody()})
+		out.Objects = append(out.Objects, feed.Object{Name: o.GetName(), Revision: feed.Revision(o.GetRevision()), Deleted: o.GetGone(), Body: o.GetBody()})
 	}
 	return out, nil
 }
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -19,10 +19,10 @@
 // common.
 func registrations(n int) feed.Copy {
 	c := feed.Copy{Full: true, Age: 20 * time.Millisecond}
-	c.Revision = uint64(n)
+	c.Revision = feed.Revision(n)
 	for i := range n {
 		name := fmt.Sprint("upstream", i)
-		c.Objects = append(c.Objects, feed.Object{Name: name, Revision: uint64(i), Body: fmt.Appendf(nil, registrationFormat, name, i%90, i%3, i%7, i, 977*i, 1000*i)})
+		c.Objects = append(c.Objects, feed.Object{Name: name, Revision: feed.Revision(i), Body: fmt.Appendf(nil, registrationFormat, name, i%90, i%3, i%7, i, 977*i, 1000*i)})
 	}
 	return c
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,15 @@
 // registry are back about two seconds after it recovers.
 const GracePeriod = 2200 * time.Millisecond
 
+// HoldTime is how long after a restore of the registry an upstream stays out that had
+// left before, and a failure domain stays excluded. By then upstreams and operators have
+// written again what the restore lost, and registrations without an owner have expired.
+const HoldTime = 5 * time.Second
+
+// departedTTL is how long upstreams that have left are remembered. A restored registry
+// is at most that old.
+const departedTTL = time.Minute
+
 // Removals in one update count as a mass loss, as after an outage of the registry,
 // if they reach both of these.
 const (
@@ -48,12 +57,22 @@
 	OnChange func(v *View)
 
 	mu         sync.Mutex
-	entries    map[string]*entry // by ID
-	excluded   map[string]bool
-	graceUntil time.Time // a registration removed before this is kept for GracePeriod
+	entries    map[string]*entry    // by ID
+	listed     map[string]bool      // excluded failure domains as last set
+	excluded   map[string]bool      // failure domains in force: listed ones, and others until holdUntil
+	graceUntil time.Time            // a registration removed before this is kept for GracePeriod
+	departed   map[string]departure // upstreams that have left in the last departedTTL, by ID
+	holdUntil  time.Time            // end of HoldTime after a restore of the registry
+	held       map[string]Upstream  // registrations to be used at holdUntil, by ID
 	view       atomic.Pointer[View]
 }
 
+// A departure says which process of an upstream has left, and when.
+type departure struct {
+	startMs int64
+	at      time.Time
+}
+
 // An entry is an upstream, registered or in its grace period.
 type entry struct {
 	Upstream
@@ -62,7 +81,12 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	r := &Roster{entries: make(map[string]*entry), excluded: make(map[string]bool)}
+	r := &Roster{
+		entries:  make(map[string]*entry),
+		excluded: make(map[string]bool),
+		departed: make(map[string]departure),
+		held:     make(map[string]Upstream),
+	}
 	r.view.Store(&View{})
 	return r
 }
@@ -81,15 +105,42 @@
 	r.graceUntil = now.Add(GracePeriod)
 }
 
+// StartRestore records that the registry has come back from an older copy. Some of what
+// is in it has been changed since, and some of what was in it is missing until it is
+// written again. Therefore upstreams that left before, or were draining, stay out for
+// HoldTime, and excluded domains stay excluded; missing registrations are kept as after
+// an outage.
+func (r *Roster) StartRestore(now time.Time) {
+	r.StartGrace(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holdUntil = now.Add(HoldTime)
+}
+
+// leftBefore reports whether the process of the registration is known to have left or
+// to drain.
+func (r *Roster) leftBefore(u *Upstream) bool {
+	if d, ok := r.departed[u.ID]; ok && d.startMs == u.StartMs {
+		return true
+	}
+	e := r.entries[u.ID]
+	return e != nil && e.Draining && !u.Draining && e.StartMs == u.StartMs
+}
+
 // Update applies new or changed registrations, and removes those with removedIDs.
 func (r *Roster) Update(changed []Upstream, removedIDs []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range changed {
-		r.entries[u.ID] = &entry{Upstream: u}
+		if now.Before(r.holdUntil) && r.leftBefore(&u) {
+			r.held[u.ID] = u
+			continue
+		}
+		r.use(u)
 	}
 	var removedEntries []*entry
 	for _, id := range removedIDs {
+		delete(r.held, id)
 		if e := r.entries[id]; e != nil && e.removedAt.IsZero() {
 			removedEntries = append(removedEntries, e)
 		}
@@ -98,6 +149,19 @@
 	r.publish()
 }
 
+// use puts a registration in force.
+func (r *Roster) use(u Upstream) {
+	r.entries[u.ID] = &entry{Upstream: u}
+	delete(r.held, u.ID)
+	delete(r.departed, u.ID)
+}
+
+// forget removes the entry of an upstream that has left.
+func (r *Roster) forget(e *entry, now time.Time) {
+	delete(r.entries, e.ID)
+	r.departed[e.ID] = departure{startMs: e.StartMs, at: now}
+}
+
 // remove removes registrations, or keeps them for GracePeriod if they may have
 // expired only because the registry was unreachable. A draining upstream is not
 // kept.
@@ -110,31 +174,56 @@
 			e.removedAt = now
 			continue
 		}
-		delete(r.entries, e.ID)
+		r.forget(e, now)
 	}
 }
 
-// Expire removes the upstreams whose grace period has ended.
+// Expire ends what has lasted its time: the grace period of upstreams, and what is held
+// after a restore of the registry. It is to be called a few times per second.
 func (r *Roster) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := len(r.entries)
-	maps.DeleteFunc(r.entries, func(_ string, e *entry) bool {
-		return !e.removedAt.IsZero() && now.Sub(e.removedAt) >= GracePeriod
-	})
-	if len(r.entries) != n {
+	changed := false
+	for _, e := range r.entries {
+		if !e.removedAt.IsZero() && now.Sub(e.removedAt) >= GracePeriod {
+			r.forget(e, now)
+			changed = true
+		}
+	}
+	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departedTTL })
+	if !now.Before(r.holdUntil) && r.endHold() {
+		changed = true
+	}
+	if changed {
 		r.publish()
 	}
 }
 
-// SetExcluded sets the failure domains that get no requests.
-func (r *Roster) SetExcluded(domains map[string]bool) {
+// endHold puts in force what is held, and reports whether that is anything.
+func (r *Roster) endHold() bool {
+	changed := len(r.held) > 0 || !maps.Equal(r.excluded, r.listed)
+	for _, u := range r.held {
+		r.use(u)
+	}
+	r.excluded = r.listed
+	return changed
+}
+
+// SetExcluded sets the failure domains that get no requests. Within HoldTime after a
+// restore of the registry, those that were excluded before stay so.
+func (r *Roster) SetExcluded(domains map[string]bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if maps.Equal(domains, r.excluded) {
+	r.listed = maps.Clone(domains)
+	next := make(map[string]bool)
+	maps.Copy(next, domains)
+	if now.Before(r.holdUntil) {
+		maps.Copy(next, r.excluded)
+	}
+	if maps.Equal(next, r.excluded) {
 		return
 	}
-	r.excluded = maps.Clone(domains)
+	r.excluded = next
 	r.publish()
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -38,9 +38,9 @@
 	is := is.New(t)
 	r := New()
 	r.Update(makeUpstreams(6), nil, time.Now())
-	r.SetExcluded(map[string]bool{"d1": true})
+	r.SetExcluded(map[string]bool{"d1": true}, time.Now())
 	is.Equal(usable(r), 4)
-	r.SetExcluded(nil)
+	r.SetExcluded(nil, time.Now())
 	is.Equal(usable(r), 6)
 }
 
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -25,7 +25,7 @@
 		d.Flow.SetTable(c.value)
 		d.Log.Emit(event.TableApplied, event.Fields{
 			Step:   "routes",
-			Detail: fmt.Sprintf("version %d, revision %d, %d routes", c.value.Version, c.Revision, len(c.value.Routes)),
+			Detail: fmt.Sprintf("version %d, revision %v, %d routes", c.value.Version, c.Revision, len(c.value.Routes)),
 		})
 	}
 }
@@ -47,7 +47,7 @@
 	if len(changes) > 0 {
 		d.Log.Emit(event.UpstreamsChanged, event.Fields{
 			Step:   "roster",
-			Detail: fmt.Sprintf("%d changed, %d removed, first %s at revision %d", len(changed), len(removed), changes[0].Name, changes[0].Revision),
+			Detail: fmt.Sprintf("%d changed, %d removed, first %s at revision %v", len(changed), len(removed), changes[0].Name, changes[0].Revision),
 		})
 	}
 }
@@ -58,6 +58,11 @@
 	d.roster.StartGrace(time.Now())
 }
 
+// storeRestored tells the roster that the store has come back from an older copy.
+func (d *Daemon) storeRestored() {
+	d.roster.StartRestore(time.Now())
+}
+
 // applyDomains applies changes to the failure domains out of rotation.
 func (d *Daemon) applyDomains(changes []decoded[string]) {
 	for _, c := range changes {
@@ -67,7 +72,7 @@
 		}
 		d.excluded[c.Name] = true
 	}
-	d.roster.SetExcluded(maps.Clone(d.excluded))
+	d.roster.SetExcluded(d.excluded, time.Now())
 	if len(changes) > 0 {
 		d.Log.Emit(event.UpstreamsChanged, event.Fields{Step: "domains", Detail: fmt.Sprintf("out of rotation: %v", d.excluded)})
 	}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -81,7 +81,7 @@
 	// revision, which renews its lease.
 	PutMember func(ctx context.Context, self mirror.Member, term int) (existed bool, err error)
 	// RemoveMember removes a daemon's record if it still has the given revision.
-	RemoveMember func(ctx context.Context, name string, revision uint64) error
+	RemoveMember func(ctx context.Context, name string, revision feed.Revision) error
 }
 
 // A Collection reads, watches and decodes the stored objects of one kind. Watch
@@ -89,7 +89,7 @@
 // Watch leaves changes to the next Read.
 type Collection[T any] struct {
 	Read   func(ctx context.Context) (feed.List, error)
-	Watch  func(ctx context.Context, since uint64, wait time.Duration) (feed.List, error)
+	Watch  func(ctx context.Context, since feed.Revision, wait time.Duration) (feed.List, error)
 	Decode func(o feed.Object) (T, error)
 }
 
@@ -172,11 +172,16 @@
 func (d *Daemon) registerServices(registry *prometheus.Registry) error {
 	idle := &idleCloser{Timeout: d.idleTimeout}
 	d.callerServer = &server{daemon: d, address: d.Settings.CallerAddr, handler: d.Handler, configWait: startConfigWait, idle: idle}
+	members := newTopic(d, serviceMembers, membersReadInterval, &d.Source.Members, d.applyMembers, d.reaper.restartLeases)
+	upstreams := newTopic(d, serviceRoster, rosterReadInterval, &d.Source.Upstreams, d.applyRoster, d.storeRecovered)
+	upstreams.Restored = d.storeRestored
+	domains := newTopic(d, serviceDomains, domainsReadInterval, &d.Source.ExcludedDomains, d.applyDomains, nil)
+	domains.Restored = d.storeRestored
 	topics := []*feed.Topic{
-		newTopic(d, serviceMembers, membersReadInterval, &d.Source.Members, d.applyMembers, d.reaper.restartLeases),
+		members,
 		newTopic(d, serviceRoutes, routesReadInterval, &d.Source.Routes, d.applyRoutes, nil),
-		newTopic(d, serviceRoster, rosterReadInterval, &d.Source.Upstreams, d.applyRoster, d.storeRecovered),
-		newTopic(d, serviceDomains, domainsReadInterval, &d.Source.ExcludedDomains, d.applyDomains, nil),
+		upstreams,
+		domains,
 	}
 	// Members come first: the order in which daemons read the other topics
 	// follows from them.
@@ -184,7 +189,7 @@
 		topic.RankKnown = d.fleet.Known
 	}
 	d.mirror.Topics = topics
-	d.reaper.recordsAge = topics[0].Age
+	d.reaper.recordsAge = members.Age
 	services := []namedService{{serviceFlow, d.Flow}, worker(serviceJoin, (&joiner{daemon: d}).loop), worker(serviceReap, d.reaper.loop)}
 	for _, topic := range topics {
 		services = append(services, namedService{topic.Name, topic})
--- a/internal/server/fakestore_test.go
+++ b/internal/server/fakestore_test.go
@@ -34,9 +34,9 @@
 	maxRate int // calls served per second; calls above it fail
 
 	mu            sync.Mutex
-	rev           uint64
+	rev           feed.Revision
 	objects       [kindCount]map[string]feed.Object
-	compacted     uint64        // changes up to this revision can no longer be watched
+	compacted     feed.Revision // changes up to this revision can no longer be watched
 	changed       chan struct{} // closed and replaced at each change
 	unavailable   bool
 	delay         time.Duration   // added to each call
@@ -158,7 +158,7 @@
 
 // watch waits until there are changes of a kind after revision since, and returns
 // them. It returns an empty list if there are none within wait.
-func (s *fakeStore) watch(ctx context.Context, from string, kind int, since uint64, wait time.Duration) (feed.List, error) {
+func (s *fakeStore) watch(ctx context.Context, from string, kind int, since feed.Revision, wait time.Duration) (feed.List, error) {
 	if err := s.call(ctx, from); err != nil {
 		return feed.List{}, err
 	}
@@ -179,7 +179,7 @@
 	}
 }
 
-func (s *fakeStore) changesSince(kind int, since uint64) (feed.List, chan struct{}, error) {
+func (s *fakeStore) changesSince(kind int, since feed.Revision) (feed.List, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
@@ -201,7 +201,7 @@
 func newCollection[T any](s *fakeStore, from string, kind int) Collection[T] {
 	return Collection[T]{
 		Read: func(ctx context.Context) (feed.List, error) { return s.read(ctx, from, kind) },
-		Watch: func(ctx context.Context, since uint64, wait time.Duration) (feed.List, error) {
+		Watch: func(ctx context.Context, since feed.Revision, wait time.Duration) (feed.List, error) {
 			return s.watch(ctx, from, kind, since, wait)
 		},
 		Decode: func(o feed.Object) (T, error) {
@@ -238,7 +238,7 @@
 			s.put(kindMembers, self.Name, self)
 			return existed, nil
 		},
-		RemoveMember: func(ctx context.Context, name string, _ uint64) error {
+		RemoveMember: func(ctx context.Context, name string, _ feed.Revision) error {
 			if err := s.call(ctx, from); err != nil {
 				return err
 			}
