proxy: cancel attempts of answered requests while others wait

What callers saw: answers without the shard of a replica that is at its capacity and pauses now and then. Cause: when an answer left without a part, the attempt at the replica went on for 400 ms, in case it is nearly done. After a pause the replica then worked on requests whose answers had left, and the next ones were late in turn. Change: if other requests wait for the shard at that moment, the attempt is canceled, and the replica drops what it has not begun.

--- a/internal/proxy/saturate_test.go
+++ b/internal/proxy/saturate_test.go
@@ -55,6 +55,7 @@
 		{name: "at its capacity", rate: 200},
 		{name: "above its capacity", rate: 220},
 		{name: "with pauses", rate: 180, stop: 250 * time.Millisecond},
+		{name: "with short pauses", rate: 160, stop: 150 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -70,6 +71,7 @@
 					go (&pauser{replica: s.replicas["shard4"][0], pause: tt.stop}).run()
 				}
 				complete := saturate(s, proxies, tt.rate, 10)
+				t.Logf("%.3f of the answers are complete", complete)
 				is.True(complete > 0.9*min(1, 200/float64(tt.rate))) // most answers are complete
 			})
 		})
--- a/internal/proxy/shardrequest.go
+++ b/internal/proxy/shardrequest.go
@@ -31,13 +31,14 @@
 
 	firstSend atomic.Pointer[sendRecord] // first attempt; nil while the request waits in the queue
 
-	tried      []*upstream        // upstreams that an attempt was made to; excluded from further ones
-	runs       int                // upstreams on which the request may have run or may still run
-	sends      int                // attempts sent, without those that turned out as Unsent
-	inFlight   int                // attempts without a result
-	results    chan attemptResult // of attempts in flight
-	failure    client.Reply       // reply to report if no attempt succeeds; zero before the first failure
-	overBudget bool               // the budget has denied an attempt
+	tried          []*upstream        // upstreams that an attempt was made to; excluded from further ones
+	runs           int                // upstreams on which the request may have run or may still run
+	sends          int                // attempts sent, without those that turned out as Unsent
+	inFlight       int                // attempts without a result
+	cancelAttempts context.CancelFunc // ends the attempts in flight
+	results        chan attemptResult // of attempts in flight
+	failure        client.Reply       // reply to report if no attempt succeeds; zero before the first failure
+	overBudget     bool               // the budget has denied an attempt
 }
 
 // An attemptResult is the result of one attempt.
@@ -92,6 +93,7 @@
 // run executes the shard request and delivers its outcome.
 func (r *shardRequest) run(ctx context.Context) {
 	r.results = make(chan attemptResult, maxSends)
+	ctx, r.cancelAttempts = context.WithCancel(ctx)
 	r.outcomes <- r.do(ctx)
 }
 
@@ -135,6 +137,11 @@
 				hedge.Reset(r.hedge(ctx))
 			}
 		case <-r.done:
+			if r.group.queue.hasOnTime() {
+				// The upstream may drop what it has not begun, for those
+				// that wait. Otherwise the connection is worth more.
+				r.cancelAttempts()
+			}
 			return r.outcome(r.failure, "answered")
 		case <-ctx.Done():
 			return r.finishCanceled(ctx)
