boot, proxy, server: log what a starting daemon waits for until it serves

Callers see a restarted fleet refuse or delay requests for some hundred ms; the logs did not tell what it waits for. Line 818, once after each start, has the time from the start to the members, routes and upstreams being known, the first request, the first reply and the first complete answer.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	RateLimitChanged     ID = 815
 	StoreBehind          ID = 816
 	StoreRestored        ID = 817
+	FirstAnswer          ID = 818
 	LinesSuppressed      ID = 900
 )
 
@@ -121,6 +122,7 @@
 		{ID: RateLimitChanged, Name: "rate limit of an upstream changed", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: StoreBehind, Name: "metadata store behind", Level: logrus.WarnLevel, MaxPerSecond: maxBehindPerSecond},
 		{ID: StoreRestored, Name: "metadata store restored", Level: logrus.WarnLevel},
+		{ID: FirstAnswer, Name: "first complete answer", Level: logrus.InfoLevel},
 		{ID: LinesSuppressed, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/proxy/metrics_test.go
+++ b/internal/proxy/metrics_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/fakes"
 )
 
@@ -53,3 +55,22 @@
 		is.Equal(attemptCounts(is, registry), []string{"shard0 whole 4", "shard1 whole 4"})
 	})
 }
+
+// TestStartupStages checks that a proxy records its first request, reply and complete
+// answer; an answer without a shard is not a complete one.
+func TestStartupStages(t *testing.T) {
+	runScenario(t, 5, func(s *scenario) {
+		is := is.New(s.t)
+		served := ""
+		s.proxy.Startup = &boot.Timeline{Started: time.Now(), Served: func(detail string) { served = detail }}
+		s.setAll("shard4", fakes.ReplicaBehavior{NoReply: true})
+		s.send("/all/1")
+		is.Equal(served, "")
+		s.setAll("shard4", fakes.ReplicaBehavior{ServiceTime: serviceTime})
+		time.Sleep(5 * time.Second)
+		s.send("/all/1")
+		for _, stage := range []boot.Stage{boot.Request, boot.Reply, boot.Answer} {
+			is.True(strings.Contains(served, stage.String()))
+		}
+	})
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/client"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/health"
@@ -88,7 +89,8 @@
 	Daemons      func() map[string]int // number of daemons by region; a nil func or map if unknown
 	MemoryLimit  int64                 // memory of the process in bytes, which limits the shard requests in flight; 0 means no limit
 	Log          *event.Log
-	Metrics      *Metrics // may be nil
+	Metrics      *Metrics       // may be nil
+	Startup      *boot.Timeline // records the first request, reply and complete answer; may be nil
 
 	// shareMu is held while this daemon's share of the limits is read and applied,
 	// so that an older share never replaces a newer one.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/client"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/route"
@@ -33,6 +34,7 @@
 // deadline of the request at the latest. ctx is to be done when the caller has
 // disconnected. Serve may be called concurrently.
 func (p *Proxy) Serve(ctx context.Context, q *Request) Answer {
+	p.Startup.Reach(boot.Request)
 	workCtx, cancel := context.WithDeadline(p.baseCtx, q.Deadline)
 	stop := context.AfterFunc(ctx, cancel)
 	tr := &trace{started: q.Arrived}
@@ -68,11 +70,13 @@
 	return a
 }
 
-// logAnswer logs the answer to a request, unless it is a complete success.
+// logAnswer logs the answer to a request, unless it is a complete success after the
+// first one.
 func (p *Proxy) logAnswer(q *Request, a *Answer, tr *trace) {
 	id := event.RequestFailed
 	switch {
 	case a.Kind == Served && a.MissingShards == 0:
+		p.Startup.Reach(boot.Answer)
 		return
 	case a.Kind == Served:
 		id = event.PartialAnswer
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/client"
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
@@ -178,6 +179,7 @@
 	}
 	switch re.Result {
 	case client.Succeeded:
+		u.proxy.Startup.Reach(boot.Reply)
 		took = max(took-u.rtt(), 0)
 		stats.add(took)
 		u.replica.RecordLatency(now, took, typical, u.rtt())
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
@@ -23,6 +24,7 @@
 		}
 		d.table.Store(c.value)
 		d.Flow.SetTable(c.value)
+		d.startup.Reach(boot.Routes)
 		d.Log.Emit(event.TableApplied, event.Fields{
 			Step:   "routes",
 			Detail: fmt.Sprintf("version %d, revision %v, %d routes", c.value.Version, c.Revision, len(c.value.Routes)),
@@ -44,6 +46,7 @@
 	}
 	d.roster.Update(changed, removed, time.Now())
 	d.rosterRead.Store(true)
+	d.startup.Reach(boot.Upstreams)
 	if len(changes) > 0 {
 		d.Log.Emit(event.UpstreamsChanged, event.Fields{
 			Step:   "roster",
@@ -95,6 +98,7 @@
 		return
 	}
 	d.fleet.Set(maps.Clone(d.members))
+	d.startup.Reach(boot.Members)
 	d.membership.observe(!d.fleet.SelfMissing() && d.fleet.Known(), time.Now())
 	d.Flow.UpdateShare()
 	d.Log.Emit(event.MembersChanged, event.Fields{
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/client"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
@@ -117,6 +118,7 @@
 	membership   membership
 	reaper       *reaper
 	callerServer *server
+	startup      *boot.Timeline
 }
 
 // Start starts all services. If one fails to start, those already started are
@@ -135,6 +137,7 @@
 	d.mirror.Init()
 	d.reaper = &reaper{daemon: d}
 	d.roster = roster.New()
+	d.startup = &boot.Timeline{Started: time.Now(), Served: d.logFirstAnswer}
 	d.Flow = &proxy.Proxy{
 		Region:       d.Settings.Region,
 		Codec:        d.Codec,
@@ -145,6 +148,7 @@
 		MemoryLimit:  d.Settings.MemoryLimit,
 		Log:          d.Log,
 		Metrics:      proxy.NewMetrics(registry),
+		Startup:      d.startup,
 	}
 	d.Flow.SetLimits(d.Settings.Bounds)
 	d.roster.OnChange = d.Flow.SetUpstreams
@@ -158,6 +162,10 @@
 	return nil
 }
 
+func (d *Daemon) logFirstAnswer(detail string) {
+	d.Log.Emit(event.FirstAnswer, event.Fields{Step: "start", Detail: detail})
+}
+
 // A namedService is a service and the name that it is registered under.
 type namedService struct {
 	name    string
