--- a/internal/cert/cert.go
+++ b/internal/cert/cert.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
@@ -59,14 +60,7 @@
 // loaded, the certificate loaded before stays in use.
 func (r *Reloader) loop(ctx context.Context) {
 	defer r.goroutines.Done()
-	t := time.NewTicker(checkInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for delay.Sleep(ctx, checkInterval) {
 		if r.modTimes() == r.current.Load().modTimes {
 			continue
 		}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/entry"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
@@ -110,14 +111,7 @@
 // loop sweeps every sweepInterval until ctx ends, if this daemon ranks first.
 func (s *sweeper) loop(ctx context.Context) {
 	defer s.goroutines.Done()
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	for delay.Sleep(ctx, sweepInterval) {
 		if s.daemon.rank() > 0 {
 			continue
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -6,15 +6,14 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/client"
+	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
-	"bronzedoor.dev/bronzedoor/internal/health"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
 	"bronzedoor.dev/bronzedoor/internal/limit"
 	"bronzedoor.dev/bronzedoor/internal/roster"
@@ -31,51 +30,6 @@
 	ColdSlack    float64       // plus this many requests per second
 }
 
-// A Request is a request of a caller.
-type Request struct {
-	Payload  *client.Request
-	Table    *route.Table
-	Route    *route.Route
-	Arrived  time.Time
-	Deadline time.Time // the caller's deadline or the route's timeout, whichever is earlier
-}
-
-// promoteAt returns the time after which a late request no longer leaves slots to
-// requests that can be on time, because it might miss its own deadline.
-func (q *Request) promoteAt() time.Time {
-	return q.Arrived.Add(time.Duration(promoteShare * float64(q.Deadline.Sub(q.Arrived))))
-}
-
-// A Kind classifies an Answer.
-type Kind int
-
-// Kinds of answers.
-const (
-	Served     Kind = iota // successful, perhaps without some shards
-	Relayed                // an upstream's error response, to be passed on unchanged
-	Refused                // the request has not run on any upstream and will not
-	Lost                   // the request may have run, but no answer was received
-	TimedOut               // the deadline passed before there was an answer
-	CallerGone             // the caller disconnected
-)
-
-// String returns the kind as a metric label and a log value.
-func (k Kind) String() string {
-	return [...]string{"served", "relayed", "refused", "lost", "late", "gone"}[k]
-}
-
-// An Answer is the result of a Request.
-type Answer struct {
-	Kind          Kind
-	Status        int // HTTP status, if Served or Relayed
-	Header        http.Header
-	Body          []byte
-	Proofs        []string      // proofs of the merged shards, for a route with shards
-	MissingShards int           // shards left out of a merged answer
-	RetryAfter    time.Duration // suggested delay before a refused caller retries
-	Reason        string        // why it is not a complete success; empty if it is
-}
-
 // A Proxy serves requests by sending them to upstreams. Set the exported fields,
 // then call Start.
 type Proxy struct {
@@ -108,18 +62,6 @@
 	goroutines kernel.Group
 }
 
-// A group holds the upstreams of one service, its budget for retries and hedges,
-// and the requests that wait for an upstream.
-type group struct {
-	name   string
-	budget limit.WindowBudget
-
-	mu        sync.Mutex
-	upstreams []*upstream
-	queue     waitQueue
-	wakeAt    time.Time // when a waiting request is woken next because a rate limit allows it; may be in the past
-}
-
 // Start starts background maintenance. It must be called before SetUpstreams and
 // Serve. It always returns nil.
 func (p *Proxy) Start(ctx context.Context) error {
@@ -142,15 +84,8 @@
 // loop calls maintain periodically until ctx is done.
 func (p *Proxy) loop(ctx context.Context) {
 	defer p.goroutines.Done()
-	t := time.NewTicker(maintainInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			p.maintain()
-		}
+	for delay.Sleep(ctx, maintainInterval) {
+		p.maintain()
 	}
 }
 
@@ -278,43 +213,6 @@
 	return r
 }
 
-// setBudget sets this daemon's share of the service's budget for retries and hedges.
-func (g *group) setBudget(l Limits, share float64, ramp limit.RampUp) {
-	g.budget.Set(l.BudgetRatio, l.BudgetSlack*share, l.BudgetWindow, ramp)
-}
-
-// setUpstreamLimits sets this daemon's share of the limits of each upstream.
-func (g *group) setUpstreamLimits(s route.Service, share float64) {
-	all := g.list()
-	if len(all) == 0 {
-		return
-	}
-	users := usersByRegion(all, all[0].proxy.daemons())
-	for _, u := range all {
-		u.setLimits(s, share, users[u.info.Region])
-	}
-}
-
-// usersByRegion returns how many daemons use the upstreams of each region: the
-// daemons of that region, and those of all regions without upstreams, which may
-// use any upstream.
-func usersByRegion(all []*upstream, daemons map[string]int) map[string]int {
-	out := make(map[string]int)
-	for _, u := range all {
-		out[u.info.Region] = daemons[u.info.Region]
-	}
-	unattached := 0
-	for region, n := range daemons {
-		if _, ok := out[region]; !ok {
-			unattached += n
-		}
-	}
-	for region := range out {
-		out[region] += unattached
-	}
-	return out
-}
-
 // daemons returns the number of daemons by region, or nil if that is unknown.
 func (p *Proxy) daemons() map[string]int {
 	if p.Daemons == nil {
@@ -322,71 +220,3 @@
 	}
 	return p.Daemons()
 }
-
-// list returns the current upstreams. The slice must not be changed.
-func (g *group) list() []*upstream {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.upstreams
-}
-
-// update replaces the upstreams of the service. Those that remain keep their state,
-// and those that are gone are closed.
-func (g *group) update(p *Proxy, infos []*roster.Upstream, s route.Service, share float64) {
-	g.mu.Lock()
-	next := make([]*upstream, 0, len(infos))
-	for _, info := range infos {
-		u := g.find(info)
-		if u == nil {
-			u = newUpstream(p, g, info)
-		}
-		u.replica.SetCold(info.ColdUntil)
-		next = append(next, u)
-	}
-	var gone []*upstream
-	for _, u := range g.upstreams {
-		if !contains(next, u) {
-			gone = append(gone, u)
-		}
-	}
-	g.upstreams = next
-	g.mu.Unlock()
-	g.setUpstreamLimits(s, share)
-	for _, u := range gone {
-		u.close()
-	}
-	g.queue.wakeAll()
-}
-
-// find returns the known upstream for a roster entry, or nil. A process that has
-// restarted under its old ID is a new upstream, since nothing learned about the
-// old process applies to it. The caller must hold g.mu.
-func (g *group) find(info *roster.Upstream) *upstream {
-	for _, u := range g.upstreams {
-		if u.info.ID == info.ID && u.info.Address == info.Address && u.info.StartMs == info.StartMs {
-			return u
-		}
-	}
-	return nil
-}
-
-func contains(all []*upstream, u *upstream) bool {
-	for _, o := range all {
-		if o == u {
-			return true
-		}
-	}
-	return false
-}
-
-func newUpstream(p *Proxy, g *group, info *roster.Upstream) *upstream {
-	u := &upstream{
-		info:    info,
-		proxy:   p,
-		group:   g,
-		replica: &health.Replica{Slots: info.Slots},
-		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial},
-	}
-	u.ctx, u.cancel = context.WithCancel(p.baseCtx)
-	return u
-}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -44,6 +44,19 @@
 	probingSince time.Time // when probing began; zero if it is in rotation
 }
 
+// newUpstream returns the state of an upstream that has just become known.
+func newUpstream(p *Proxy, g *group, info *roster.Upstream) *upstream {
+	u := &upstream{
+		info:    info,
+		proxy:   p,
+		group:   g,
+		replica: &health.Replica{Slots: info.Slots},
+		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial},
+	}
+	u.ctx, u.cancel = context.WithCancel(p.baseCtx)
+	return u
+}
+
 // lateSlotFactor is the number of requests in flight per slot of an upstream up to
 // which late requests are sent to it: enough to keep the upstream busy, but few
 // enough that on-time requests that come after them wait only briefly.
--- a/internal/testbed/system.go
+++ b/internal/testbed/system.go
@@ -10,20 +10,16 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"bronzedoor.dev/bronzedoor/internal/admin"
-	"bronzedoor.dev/bronzedoor/internal/daemon"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fakes"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/relay"
-	"bronzedoor.dev/bronzedoor/internal/setup"
 	"bronzedoor.dev/bronzedoor/internal/store"
-	"bronzedoor.dev/bronzedoor/pkg/query"
 )
 
 // A System is a fleet of daemons with fakes of the platform and the upstreams
@@ -78,18 +74,6 @@
 	Shard   int // from 0
 }
 
-// A Node is one VM and the daemon that it runs.
-type Node struct {
-	// Daemon is the one of the latest start, and nil before the first.
-	*daemon.Daemon
-
-	Entry  string // address for callers
-	Peer   string // address for other daemons
-	Domain string // failure domain
-	Starts int    // number of times that the VM was started
-	Up     atomic.Bool
-}
-
 // Timeouts and defaults of a System.
 const (
 	defaultLinger = 200 * time.Millisecond
@@ -231,78 +215,6 @@
 	return err
 }
 
-// AddNode adds a VM with unused addresses, without starting it.
-func (sys *System) AddNode(domain string) (*Node, error) {
-	n := &Node{Domain: domain}
-	for _, a := range []*string{&n.Entry, &n.Peer} {
-		l, err := sys.listen()
-		if err != nil {
-			return nil, err
-		}
-		*a = l.Addr().String()
-		_ = l.Close()
-	}
-	sys.Nodes = append(sys.Nodes, n)
-	return n, nil
-}
-
-// StartNode starts a new daemon on a VM, adds the VM to the platform's list and
-// waits until callers may send to it. The daemon gets up to three running VMs as
-// its first peers.
-func (sys *System) StartNode(n *Node) error {
-	n.Starts++
-	start := fmt.Sprintf("s%d", n.Starts)
-	s := &setup.Settings{
-		Address: n.Entry,
-		Peer:    n.Peer,
-		Domain:  n.Domain,
-		Start:   start,
-		Objects: sys.objectsAddr,
-		Machine: sys.vmsAddr,
-		Linger:  setup.Duration(sys.Linger),
-		Drain:   setup.Duration(sys.Drain),
-	}
-	for _, o := range sys.Nodes {
-		if o != n && o.Up.Load() && len(s.Peers) < 3 {
-			s.Peers = append(s.Peers, o.Peer)
-		}
-	}
-	n.Daemon = daemon.New(s, sys.daemonNet(n), sys.newLog())
-	n.AdjustPolicy = sys.RelayPolicy
-	if err := n.Start(context.Background()); err != nil {
-		return err
-	}
-	sys.VMs.Set(store.VM{Address: n.Peer, StartID: start, Domain: n.Domain, State: "live"})
-	if err := sys.waitHealthy(n); err != nil {
-		return err
-	}
-	n.Up.Store(true)
-	return nil
-}
-
-// Times of the health check that a load balancer makes.
-const (
-	healthInterval = 20 * time.Millisecond
-	healthTimeout  = 3 * time.Second // a daemon must be healthy this soon after its start
-)
-
-// waitHealthy waits until a node passes the load balancer's health check; a
-// balancer sends it no callers before that.
-func (sys *System) waitHealthy(n *Node) error {
-	end := time.Now().Add(healthTimeout)
-	for time.Now().Before(end) {
-		resp, err := sys.Client.Get("http://" + n.Entry + query.PathHealth)
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		time.Sleep(healthInterval)
-	}
-	return fmt.Errorf("%s not healthy within %v", n.Entry, healthTimeout)
-}
-
 // newLog returns a log that writes to LogOutput.
 func (sys *System) newLog() *event.Log {
 	l := logrus.New()
@@ -313,32 +225,6 @@
 	return event.New(l)
 }
 
-// daemonNet returns the network that a node's daemon uses.
-func (sys *System) daemonNet(n *Node) daemon.Net {
-	if sys.Network == nil {
-		return daemon.SystemNet()
-	}
-	return daemon.Net{Listen: sys.Network.Listen, Packet: sys.Network.ListenPacket, Dial: sys.Network.Dialer(n.Peer)}
-}
-
-// KillNode stops a VM at once, without draining, as in a crash. The platform
-// still lists it.
-func (sys *System) KillNode(n *Node) {
-	n.Up.Store(false)
-	n.Kill()
-}
-
-// StopNode drains and stops a VM within Drain, and removes it from the platform's
-// list.
-func (sys *System) StopNode(n *Node) error {
-	ctx, cancel := context.WithTimeout(context.Background(), sys.Drain)
-	defer cancel()
-	n.Up.Store(false)
-	err := n.Leave(ctx)
-	sys.VMs.Remove(n.Peer)
-	return err
-}
-
 // WaitReady waits until every live daemon serves every service. If ctx ends
 // first, the error names a daemon that lags and the reason, or says why the
 // status could not be read.
@@ -350,16 +236,6 @@
 	return err
 }
 
-// firstUp returns the first node that is up, or the first node if none is.
-func (sys *System) firstUp() *Node {
-	for _, n := range sys.Nodes {
-		if n.Up.Load() {
-			return n
-		}
-	}
-	return sys.Nodes[0]
-}
-
 // WaitApplied waits until every live daemon has applied revision rev. Errors are
 // as for WaitReady.
 func (sys *System) WaitApplied(ctx context.Context, rev uint64) error {
@@ -378,11 +254,6 @@
 	})
 }
 
-// ClientOf returns a client that sends to one node.
-func (sys *System) ClientOf(n *Node) *query.Client {
-	return &query.Client{Address: n.Entry, HTTP: sys.Client}
-}
-
 // Warm makes all upstreams warm, so that they take their full load.
 func (sys *System) Warm() {
 	for _, u := range sys.Upstreams {
