client, proxy: bound the memory of all long responses together

What callers would see: 200 upstreams in trouble at once that send bodies without end take up to 8 MB each, more than a small VM has, and the daemon is killed with all its requests. Change: what a body has above 64 KB is reserved in a budget of all connections, an eighth of the process's memory; a response that finds none left is given up (its request may have run). Shorter bodies need no reservation, so that ordinary responses go on. Evidence: TestEndlessBodiesMemory: 200 endless bodies at once hold at most 16 MB of 16 MB (three runs with the race detector), before up to 8 MB each by the limits of a connection; all ordinary requests meanwhile succeed, and nothing stays reserved. Their latency was not measured.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -153,14 +153,14 @@
 	_ = b.conn.SetDeadline(time.Unix(1, 0))
 }
 
-// exchange sends a request and reads its response. It reports whether the
-// connection can be reused.
-func (c *conn) exchange(ctx context.Context, codec *Codec, req *Request, id string, remaining time.Duration) (Reply, bool) {
+// exchange sends a request to the upstream of p and reads its response. It reports
+// whether the connection can be reused.
+func (c *conn) exchange(ctx context.Context, p *Pool, req *Request, remaining time.Duration) (Reply, bool) {
 	if ctx.Err() != nil {
 		return Reply{Result: Unsent, Err: ctx.Err()}, true
 	}
 	stop := context.AfterFunc(ctx, (&aborter{conn: c.net}).abort)
-	data := encode(req, codec.Header(req, id, remaining))
+	data := encode(req, p.Codec.Header(req, p.ID, remaining))
 	written, n, err := c.send(data)
 	if err != nil {
 		stop()
@@ -170,7 +170,7 @@
 		}
 		return re, false
 	}
-	resp, respBody, err := c.read(req.Method)
+	resp, respBody, err := c.read(req.Method, p.Memory)
 	stopped := stop()
 	if err != nil {
 		return Reply{Result: Unknown, Err: cause(ctx, err)}, false
@@ -184,8 +184,8 @@
 			complete = false
 		}
 	}
-	re := codec.Decode(req, resp, respBody)
-	c.idleTimeout = codec.IdleTimeout(resp.Header)
+	re := p.Codec.Decode(req, resp, respBody)
+	c.idleTimeout = p.Codec.IdleTimeout(resp.Header)
 	if c.r.Buffered() > 0 {
 		return re, false
 	}
@@ -215,8 +215,8 @@
 }
 
 // read returns the next final response and its complete body. It skips
-// informational (1xx) responses.
-func (c *conn) read(method string) (*http.Response, []byte, error) {
+// informational (1xx) responses. memory limits long bodies.
+func (c *conn) read(method string, memory *Memory) (*http.Response, []byte, error) {
 	c.limit.allow(maxHead)
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
@@ -227,7 +227,9 @@
 			continue
 		}
 		c.limit.allow(maxBody + maxFraming)
-		b, err := body.Read(resp.Body, maxBody)
+		r := &memoryReader{r: resp.Body, memory: memory}
+		defer r.release()
+		b, err := body.Read(r, maxBody)
 		return resp, b, err
 	}
 }
--- a/internal/client/endless_test.go
+++ b/internal/client/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -145,3 +148,47 @@
 func (c *endlessCall) run(ctx context.Context) {
 	c.done <- c.pool.Do(ctx, getRequest(c.id), time.Now().Add(time.Minute), false)
 }
+
+// TestEndlessBodiesMemory guards against many upstreams at once that send bodies without
+// end: each stays within its own limit, but together they would take more memory than a
+// small VM has. Meanwhile an ordinary upstream is served as usual.
+func TestEndlessBodiesMemory(t *testing.T) {
+	const upstreams = 200
+	is := is.New(t)
+	memory := &Memory{Max: 16 << 20}
+	u := &endlessUpstream{begin: "HTTP/1.1 200 OK\r\n\r\n", piece: strings.Repeat("x", 32<<10), pause: time.Millisecond}
+	p := newEndlessPool(t, u)
+	p.Memory = memory
+	p.SetMaxOpen(upstreams)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request", r.Header.Get("Request"))
+		_, _ = w.Write(make([]byte, shortBody))
+	}))
+	t.Cleanup(server.Close)
+	ordinary := newPool(t, &scriptedUpstream{})
+	ordinary.Address = server.Listener.Addr().String()
+	ordinary.Memory = memory
+	done := make(chan Reply, upstreams)
+	for i := range upstreams {
+		go (&endlessCall{pool: p, id: fmt.Sprint(i), done: done}).run(t.Context())
+	}
+	memoryErrors, ended, peak := 0, 0, int64(0)
+	for ended < upstreams {
+		select {
+		case re := <-done:
+			ended++
+			is.Equal(re.Result, Unknown)
+			if errors.Is(re.Err, ErrMemory) {
+				memoryErrors++
+			}
+		default:
+			is.Equal(ordinary.Do(t.Context(), getRequest("a"), time.Now().Add(time.Minute), false).Result, Succeeded)
+			peak = max(peak, memory.used.Load())
+		}
+	}
+	t.Logf("%d of %d were given up for want of memory, at most %d KB were used", memoryErrors, upstreams, peak>>10)
+	is.True(memoryErrors > 0)
+	is.True(peak <= memory.Max)
+	is.Equal(memory.used.Load(), int64(0))
+	is.Equal(p.open, 0)
+}
--- a/internal/client/pool.go
+++ b/internal/client/pool.go
@@ -45,6 +45,7 @@
 	ID      string // ID of the upstream's process, which is sent with each request
 	Codec   *Codec
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	Memory  *Memory // of long responses, shared by all pools; nil for no limit
 
 	mu           sync.Mutex
 	maxOpen      int       // maximum number of open connections, including those being dialed
@@ -133,7 +134,7 @@
 	fresh := c.fresh
 	c.fresh = false
 	sent := time.Now()
-	re, reusable := c.exchange(ctx, p.Codec, req, p.ID, time.Until(deadline))
+	re, reusable := c.exchange(ctx, p, req, time.Until(deadline))
 	if re.Result != Unsent {
 		re.SentAt = sent
 	}
--- a/internal/client/pool_test.go
+++ b/internal/client/pool_test.go
@@ -278,7 +278,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		limit := &limitedReader{r: strings.NewReader(string(text))}
 		c := &conn{limit: limit, r: bufio.NewReader(limit)}
-		resp, body, err := c.read(http.MethodGet)
+		resp, body, err := c.read(http.MethodGet, nil)
 		if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 			t.Fatalf("body has %d bytes, Content-Length is %d", len(body), resp.ContentLength)
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -57,16 +57,25 @@
 	table      *route.Table
 	baseCtx    context.Context // canceled by Stop
 	started    time.Time       // time of Start
+	memory     *client.Memory  // of long responses; nil for no limit
 	splitter   route.Splitter
 	inFlight   atomic.Int64 // shard requests in flight
 	goroutines kernel.Group
 }
 
+// longResponseShare is the inverse of the share of MemoryLimit that long responses may
+// take while they are read. Their buffers grow by copying, and garbage is collected
+// later, so they take a multiple of that.
+const longResponseShare = 8
+
 // Start starts background maintenance. It must be called before SetUpstreams and
 // Serve. It always returns nil.
 func (p *Proxy) Start(ctx context.Context) error {
 	p.baseCtx = p.goroutines.Begin(ctx, 1)
 	p.started = time.Now()
+	if p.MemoryLimit > 0 {
+		p.memory = &client.Memory{Max: p.MemoryLimit / longResponseShare}
+	}
 	go p.loop(p.baseCtx)
 	return nil
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -51,7 +51,7 @@
 		proxy:   p,
 		group:   g,
 		replica: &health.Replica{Slots: info.Slots},
-		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial},
+		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial, Memory: p.memory},
 	}
 	u.ctx, u.cancel = context.WithCancel(p.baseCtx)
 	return u
