limit: bear any stated rate

A rate above one request per nanosecond gave an interval of 0, and the daemon ended with a division by zero: one odd header of one upstream took a whole process down. Found by reading the change. TestStatedRateExtremes panicked before; the interval is now 1 ns at least.

--- a/internal/limit/stated.go
+++ b/internal/limit/stated.go
@@ -84,13 +84,13 @@
 	return rand.Float64()
 }
 
-// interval returns the time between two slots. The mutex is held.
+// interval returns the time between two slots, above 0. The mutex is held.
 func (r *StatedRate) interval(now time.Time) time.Duration {
 	rate := max(r.perSecond, minStatedRate) * r.share * r.ramp.Fraction(time.Second, now)
 	if rate <= 1/maxStatedInterval.Seconds() {
 		return maxStatedInterval
 	}
-	return time.Duration(float64(time.Second) / rate)
+	return max(time.Duration(float64(time.Second)/rate), 1)
 }
 
 // update skips expired slots, and returns the time between two slots. The mutex is
--- a/internal/limit/stated_test.go
+++ b/internal/limit/stated_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -97,3 +98,22 @@
 	r.Observe(true, 100, now, now)
 	is.True(r.Wait(now) < 20*time.Millisecond)
 }
+
+// TestStatedRateExtremes guards against limits from outside that stop the process: once,
+// a rate above a request per nanosecond led to a division by zero.
+func TestStatedRateExtremes(t *testing.T) {
+	for _, perSecond := range []float64{0, 1e-300, 1e9, 1e12, 1e300, math.MaxFloat64} {
+		is := is.New(t)
+		now := time.Now()
+		var r StatedRate
+		r.SetShare(0.5, steady)
+		r.Observe(true, perSecond, now, now)
+		later := now.Add(time.Hour)
+		is.True(r.Interval(later) > 0)
+		is.True(r.Wait(later) >= 0)
+		ok, limited := r.Take(later)
+		is.True(limited)
+		is.True(ok || perSecond < 1)
+		r.Return(later)
+	}
+}
