--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -79,6 +80,29 @@
 	s.faults = t
 }
 
+// A StoreCopy is the contents of a Store at one time.
+type StoreCopy struct {
+	rev     uint64
+	objects map[key]object.Object
+}
+
+// Copy returns a copy of the store's contents.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{rev: s.rev, objects: maps.Clone(s.objects)}
+}
+
+// Restore replaces the contents by a copy. Later revisions are given out again.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev = c.rev
+	s.objects = maps.Clone(c.objects)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() Calls {
 	s.mu.Lock()
