cmd: give the scripts of a test an IP number of their own

Cause: a script chooses free ports on 127.0.0.1, closes them and starts the programs; meanwhile another process connects from that very port, as all connections of the machine leave from 127.0.0.1 and its ephemeral ports. The ports are now of an IP number that only this process uses.

--- a/cmd/bronzedoor/script_test.go
+++ b/cmd/bronzedoor/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net"
 	"os"
 	"regexp"
@@ -36,10 +37,13 @@
 }
 
 // setAddresses sets $P1, $P2 and so on to addresses with free ports. The
-// listeners close only after all ports are chosen, so that no two are equal.
+// listeners close only after all ports are chosen, so that no two are equal. The
+// addresses are of an IP number that only this process uses: on 127.0.0.1, from which
+// all processes connect, a chosen port was once taken before it was used.
 func setAddresses(env *testscript.Env) error {
+	ip := fmt.Sprintf("127.210.%d.%d", os.Getpid()/250%250, 1+os.Getpid()%250)
 	for i := range portCount {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return err
 		}
