store, conf: follow an object API that is restored from an older copy

Change: the object API counts its restores, ETags include the count, so that a conditional write never meets a revision that was given out again, and a listing that begins before a restore is refused. Followers then keep the configuration in force for 2 s, until operators have written again, and list all objects anew: those that are missing count as deleted.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"bronzedoor.dev/bronzedoor/internal/delay"
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/prop"
 )
@@ -47,6 +48,24 @@
 	is.Equal(len(c.Rejected()), 0)
 }
 
+// TestConfigReplace replaces the configuration by a list of a restored store: an object
+// that is not on it counts as deleted, also for peers.
+func TestConfigReplace(t *testing.T) {
+	is := is.New(t)
+	restored := uint64(feed.NewRevision(1, 1))
+	other := selector(2, 100)
+	other.Name = "d"
+	var c Config
+	c.Apply([]object.Object{selector(1, 100), other}, 2)
+	c.Replace([]object.Object{selector(restored, 200)}, restored)
+	is.Equal(c.View().Selector("c").DeadlineMs, 200)
+	_, known := c.Object(object.KindSelector, "d")
+	is.True(!known)
+	objects, rev, _ := c.ChangesSince(2, 100)
+	is.Equal(len(objects), 2)
+	is.Equal(rev, restored)
+}
+
 // TestConfigNeverRevertsDrawn applies states of an object in any order, as stale
 // stores and peers deliver them, and checks that the newest one is in force.
 func TestConfigNeverRevertsDrawn(t *testing.T) {
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -61,6 +61,30 @@
 	return rejections
 }
 
+// Replace is like Apply with a list of all objects: those that are not on it were lost
+// when the store was restored from an older copy, and count as deleted.
+func (c *Config) Replace(objects []object.Object, rev uint64) []Rejection {
+	return c.Apply(append(c.missing(objects, rev), objects...), rev)
+}
+
+// missing returns a deletion at revision rev for each known object that is not among
+// objects.
+func (c *Config) missing(objects []object.Object, rev uint64) []object.Object {
+	listed := make(map[key]bool, len(objects))
+	for _, o := range objects {
+		listed[key{kind: o.Kind, name: o.Name}] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []object.Object
+	for k, o := range c.latest {
+		if !listed[k] && !o.Deleted {
+			out = append(out, object.Object{Kind: k.kind, Name: k.name, Revision: rev, Deleted: true})
+		}
+	}
+	return out
+}
+
 func (c *Config) init() {
 	if c.latest == nil {
 		c.valid = make(map[key]object.Object)
--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/ring"
@@ -22,6 +25,14 @@
 	fetchTimeout      = 2 * time.Second // for one read from a peer
 )
 
+// RestoreHold is how long a configuration stays in force after the store has come back
+// from an older copy, until operators have written again what the copy lacks.
+const RestoreHold = 2 * time.Second
+
+// ErrRestored is returned by Follower.Watch when the store was restored from an older
+// copy after the requested revision.
+var ErrRestored = errors.New("store was restored from an older copy")
+
 // PageSize is the maximum number of objects in a page.
 const PageSize = 1000
 
@@ -52,6 +63,7 @@
 	OnAdvance  func(rev uint64) // called after the configuration has advanced to rev; may be nil
 	Log        *event.Log
 
+	relisting  sync.Mutex // held while the store is listed anew after a restore
 	hints      *ring.Ring[Hint]
 	goroutines kernel.Group
 }
@@ -120,12 +132,42 @@
 		if !f.holdsWatch() || f.Config.Revision() == 0 || ctx.Err() != nil {
 			continue
 		}
-		if p, err := f.Watch(ctx, f.Config.Revision(), 0); err == nil {
+		since := f.Config.Revision()
+		p, err := f.Watch(ctx, since, 0)
+		switch {
+		case err == nil:
 			f.apply(p, "store")
+		case errors.Is(err, ErrRestored):
+			// If it fails, the next round tries again.
+			_ = f.relist(ctx, since)
 		}
 	}
 }
 
+// relist reads all objects, after RestoreHold, and replaces the configuration by them.
+// before is the revision that the store has lost. Another goroutine may have done so
+// meanwhile.
+func (f *Follower) relist(ctx context.Context, before uint64) error {
+	f.relisting.Lock()
+	defer f.relisting.Unlock()
+	if f.Config.Revision() != before {
+		return nil
+	}
+	f.Log.Emit(event.StoreRestored, event.Fields{Step: "watch", Detail: "after revision " + feed.Revision(before).String()})
+	delay.Sleep(ctx, RestoreHold)
+	var all Page
+	for all.More = true; all.More; {
+		p, err := f.Watch(ctx, all.Revision, 0)
+		if err != nil {
+			return err
+		}
+		all = Page{Objects: append(all.Objects, p.Objects...), Revision: p.Revision, More: p.More}
+	}
+	f.logRejections(f.Config.Replace(all.Objects, all.Revision), "store")
+	f.advanced(before)
+	return nil
+}
+
 func (f *Follower) holdsWatch() bool {
 	return f.HoldsWatch == nil || f.HoldsWatch()
 }
@@ -148,6 +190,9 @@
 		wait = WatchTimeout
 	}
 	p, err := f.Watch(ctx, since, wait)
+	if errors.Is(err, ErrRestored) {
+		return false, f.relist(ctx, since)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -164,13 +209,23 @@
 // from is the peer that the page came from, or "store".
 func (f *Follower) apply(p Page, from string) {
 	before := f.Config.Revision()
-	for _, r := range f.Config.Apply(p.Objects, p.Revision) {
+	f.logRejections(f.Config.Apply(p.Objects, p.Revision), from)
+	f.advanced(before)
+}
+
+// logRejections logs objects that were rejected.
+func (f *Follower) logRejections(rejections []Rejection, from string) {
+	for _, r := range rejections {
 		f.Log.Emit(event.ObjectRejected, event.Fields{
 			Step:   "apply",
 			Peer:   from,
 			Detail: string(r.Kind) + " " + r.Name + ": " + r.Faults[0].String(),
 		})
 	}
+}
+
+// advanced calls OnAdvance if the configuration is later than before.
+func (f *Follower) advanced(before uint64) {
 	if now := f.Config.Revision(); now > before && f.OnAdvance != nil {
 		f.OnAdvance(now)
 	}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
@@ -51,6 +52,9 @@
 func watchStore(c *store.Client) func(ctx context.Context, since uint64, wait time.Duration) (conf.Page, error) {
 	return func(ctx context.Context, since uint64, wait time.Duration) (conf.Page, error) {
 		l, err := c.Changes(ctx, object.ConfigKinds, since, conf.PageSize, wait)
+		if errors.Is(err, store.ErrRestored) {
+			err = conf.ErrRestored
+		}
 		return conf.Page{Objects: l.Objects, Revision: l.Revision, More: l.More}, err
 	}
 }
--- a/internal/fakes/store.go
+++ b/internal/fakes/store.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/object"
 	"bronzedoor.dev/bronzedoor/internal/store"
 )
@@ -48,6 +49,7 @@
 type Store struct {
 	mu           sync.Mutex
 	rev          uint64
+	restores     uint64
 	objects      map[key]object.Object
 	staleObjects map[key]object.Object // what reads return while StaleReads is set
 	staleRev     uint64
@@ -97,6 +99,7 @@
 func (s *Store) Restore(c StoreCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restores++
 	s.rev = c.rev
 	s.objects = maps.Clone(c.objects)
 	close(s.changed)
@@ -120,6 +123,11 @@
 // ServeHTTP serves the object API below /v1/objects.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t := s.countCall(r)
+	s.mu.Lock()
+	if s.restores > 0 {
+		w.Header().Set(store.HeaderRestores, strconv.FormatUint(s.restores, 10))
+	}
+	s.mu.Unlock()
 	if t.Delay > 0 {
 		sleep(r, t.Delay)
 	}
@@ -175,12 +183,13 @@
 		objects = s.staleObjects
 	}
 	o, ok := objects[k]
+	tag := s.tag(o)
 	s.mu.Unlock()
 	if !ok || o.Deleted {
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(o.Revision, 10)))
+	w.Header().Set("ETag", strconv.Quote(tag))
 	reply(w, o)
 }
 
@@ -197,7 +206,7 @@
 	}
 	s.mu.Lock()
 	current := s.objects[k]
-	if !matches(r, current) {
+	if !matches(r, current, s.tag(current)) {
 		s.mu.Unlock()
 		http.Error(w, "conflict", http.StatusPreconditionFailed)
 		return
@@ -215,12 +224,17 @@
 	reply(w, o)
 }
 
-func matches(r *http.Request, current object.Object) bool {
+// tag returns the ETag of an object. The mutex is held.
+func (s *Store) tag(o object.Object) string {
+	return feed.NewRevision(s.restores, o.Revision).String()
+}
+
+func matches(r *http.Request, current object.Object, tag string) bool {
 	if r.Header.Get("If-None-Match") == "*" {
 		return current.Revision == 0 || current.Deleted
 	}
 	want, err := strconv.Unquote(r.Header.Get("If-Match"))
-	return err == nil && !current.Deleted && want == strconv.FormatUint(current.Revision, 10)
+	return err == nil && !current.Deleted && want == tag
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,11 @@
 // conditional. GET of /v1/objects?kinds=A,B&since=REV&limit=N&wait=MS lists the
 // objects written after revision REV in the order of their revisions, and waits
 // up to MS milliseconds while there are none.
+//
+// An object API that is restored from an older copy gives out revisions again. It
+// counts its restores in the header Restores of all responses, and an ETag is
+// RESTORES/REVISION once there was one. A Client returns revisions that order by the
+// restores first (feed.Revision).
 package store
 
 import (
@@ -23,6 +28,7 @@
 	"bronzedoor.dev/bronzedoor/internal/body"
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/object"
 )
 
@@ -32,10 +38,17 @@
 	ErrConflict = errors.New("conflict: object is not at the expected revision")
 	// ErrNotFound means that the object does not exist.
 	ErrNotFound = errors.New("object not found")
+	// ErrRestored means that the object API was restored from an older copy since the
+	// revision that a listing is to begin at.
+	ErrRestored = errors.New("object API was restored from an older copy")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("write outcome unknown")
 )
 
+// HeaderRestores is the header of responses that counts the restores of the object API
+// from older copies. Without it there were none.
+const HeaderRestores = "Restores"
+
 // maxResponse is the maximum size of a response body in bytes.
 const maxResponse = 16 << 20
 
@@ -90,7 +103,8 @@
 	var o object.Object
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	err := c.call(ctx, "get", http.MethodGet, c.objectTarget(kind, name), nil, "", &o)
+	restores, err := c.call(ctx, "get", http.MethodGet, c.objectTarget(kind, name), nil, "", &o)
+	o.Revision = compose(restores, o.Revision)
 	return o, err
 }
 
@@ -106,8 +120,8 @@
 	if o.Deleted {
 		method = http.MethodDelete
 	}
-	err := c.call(ctx, "put", method, c.objectTarget(o.Kind, o.Name), o.Body, strconv.FormatUint(o.Revision, 10), &written)
-	return written.Revision, err
+	restores, err := c.call(ctx, "put", method, c.objectTarget(o.Kind, o.Name), o.Body, feed.Revision(o.Revision).String(), &written)
+	return compose(restores, written.Revision), err
 }
 
 // PutConfirmed writes like Put. If the response to the write is lost, it reads
@@ -145,7 +159,8 @@
 const confirmInterval = 20 * time.Millisecond
 
 // Changes lists up to limit objects of the given kinds that were written or
-// deleted after revision since. If there are none, it waits up to wait for one.
+// deleted after revision since. If there are none, it waits up to wait for one. The
+// error is ErrRestored if the object API was restored after since.
 func (c *Client) Changes(ctx context.Context, kinds []object.Kind, since uint64, limit int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout+wait)
 	defer cancel()
@@ -155,12 +170,31 @@
 	}
 	q := url.Values{}
 	q.Set("kinds", strings.Join(names, ","))
-	q.Set("since", strconv.FormatUint(since, 10))
+	q.Set("since", strconv.FormatUint(feed.Revision(since).Number(), 10))
 	q.Set("limit", strconv.Itoa(limit))
 	q.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
 	var l Page
-	err := c.call(ctx, "watch", http.MethodGet, c.ObjectsAddr+"/v1/objects?"+q.Encode(), nil, "", &l)
-	return l, err
+	restores, err := c.call(ctx, "watch", http.MethodGet, c.ObjectsAddr+"/v1/objects?"+q.Encode(), nil, "", &l)
+	if err != nil {
+		return Page{}, err
+	}
+	if since != 0 && feed.Revision(since).Era() != restores {
+		return Page{}, fault.Wrap(ErrRestored, "watch", c.ObjectsAddr)
+	}
+	l.Revision = compose(restores, l.Revision)
+	for i := range l.Objects {
+		l.Objects[i].Revision = compose(restores, l.Objects[i].Revision)
+	}
+	return l, nil
+}
+
+// compose returns the revision with a number that the object API gave out after a
+// number of restores. The zero revision, of no object, stays 0.
+func compose(restores, number uint64) uint64 {
+	if number == 0 {
+		return 0
+	}
+	return uint64(feed.NewRevision(restores, number))
 }
 
 // ListVMs returns the platform's VM list.
@@ -168,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	var l VMs
-	err := c.call(ctx, "vms", http.MethodGet, c.VMListAddr+"/v1/vms", nil, "", &l)
+	_, err := c.call(ctx, "vms", http.MethodGet, c.VMListAddr+"/v1/vms", nil, "", &l)
 	return l, err
 }
 
@@ -177,12 +211,13 @@
 }
 
 // call sends one request and decodes the JSON response into out. target is the
-// URL without its scheme, and match is the expected revision of a write.
-func (c *Client) call(ctx context.Context, step fault.Step, method, target string, content []byte, match string, out any) error {
+// URL without its scheme, and match is the expected ETag of a write. It returns how
+// often the object API had been restored.
+func (c *Client) call(ctx context.Context, step fault.Step, method, target string, content []byte, match string, out any) (restores uint64, err error) {
 	host, _, _ := strings.Cut(target, "/")
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+target, bytes.NewReader(content))
 	if err != nil {
-		return fault.Wrap(err, step, host)
+		return 0, fault.Wrap(err, step, host)
 	}
 	write := method != http.MethodGet
 	if write {
@@ -192,30 +227,36 @@
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return fault.Wrap(outcomeUnknown(write, err), step, host)
+		return 0, fault.Wrap(outcomeUnknown(write, err), step, host)
 	}
 	defer resp.Body.Close()
 	b, err := body.Read(resp.Body, maxResponse)
 	if err != nil {
-		return fault.Wrap(outcomeUnknown(write, err), step, host)
+		return 0, fault.Wrap(outcomeUnknown(write, err), step, host)
 	}
 	switch {
 	case resp.StatusCode == http.StatusNotFound:
-		return fault.Wrap(ErrNotFound, step, host)
+		return 0, fault.Wrap(ErrNotFound, step, host)
 	case resp.StatusCode == http.StatusPreconditionFailed:
-		return fault.Wrap(ErrConflict, step, host)
+		return 0, fault.Wrap(ErrConflict, step, host)
 	case resp.StatusCode >= http.StatusInternalServerError:
-		return fault.Wrap(outcomeUnknown(write, fmt.Errorf("server responded with status %s", resp.Status)), step, host)
+		return 0, fault.Wrap(outcomeUnknown(write, fmt.Errorf("server responded with status %s", resp.Status)), step, host)
 	case resp.StatusCode >= http.StatusBadRequest:
-		return fault.New(step, host, "server responded with status %s: %s", resp.Status, strings.TrimSpace(string(b)))
+		return 0, fault.New(step, host, "server responded with status %s: %s", resp.Status, strings.TrimSpace(string(b)))
 	}
-	if err := json.Unmarshal(b, out); err != nil {
-		return fault.Wrap(outcomeUnknown(write, err), step, host)
+	if value := resp.Header.Get(HeaderRestores); value != "" {
+		restores, err = strconv.ParseUint(value, 10, feed.EraBits)
+	}
+	if err == nil {
+		err = json.Unmarshal(b, out)
+	}
+	if err != nil {
+		return 0, fault.Wrap(outcomeUnknown(write, err), step, host)
 	}
-	return nil
+	return restores, nil
 }
 
-// setPrecondition makes a write conditional on the revision match; "0" means
+// setPrecondition makes a write conditional on the ETag match; "0" means
 // that the object must not exist.
 func setPrecondition(req *http.Request, match string) {
 	if match == "0" {
--- a/internal/testbed/restore_test.go
+++ b/internal/testbed/restore_test.go
@@ -1,13 +1,16 @@
 package testbed
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"bronzedoor.dev/bronzedoor/internal/feed"
 	"bronzedoor.dev/bronzedoor/internal/object"
+	"bronzedoor.dev/bronzedoor/internal/store"
 )
 
 // TestRestoredObjectAPI guards against daemons that ignore changes after the object API
@@ -35,3 +38,32 @@
 		is.True(u.Stats().LastArrival.Sub(accepted) < outDelay) // no requests after it is out of rotation
 	})
 }
+
+// TestWriteAcrossRestore guards against a conditional write that meets another state of
+// its object than it was made for: the restored object API has given out the revision
+// again.
+func TestWriteAcrossRestore(t *testing.T) {
+	runSystem(t, 1, func(t *testing.T, sys *System) {
+		is := is.NewRelaxed(t)
+		ctx := t.Context()
+		target := "upstream/" + sys.upstream("planner", 1, 2, "kumasi").Address
+		old := sys.Store.Copy()
+		before, err := sys.SetLabel(ctx, target, "rack", "before")
+		is.NoErr(err)
+		read, err := sys.Editor.Store.Get(ctx, object.KindLabel, target)
+		is.NoErr(err)
+		is.Equal(read.Revision, before)
+		sys.Store.Restore(old)
+		after, err := sys.SetLabel(ctx, target, "rack", "after")
+		is.NoErr(err)
+		is.Equal(feed.Revision(after).Number(), feed.Revision(before).Number()) // given out again
+		is.True(after > before)
+		_, err = sys.Editor.Store.Put(ctx, read)
+		is.True(errors.Is(err, store.ErrConflict))
+		read, err = sys.Editor.Store.Get(ctx, object.KindLabel, target)
+		is.NoErr(err)
+		is.Equal(read.Revision, after)
+		_, err = sys.Editor.Store.Changes(ctx, object.ConfigKinds, before, 10, 0)
+		is.True(errors.Is(err, store.ErrRestored))
+	})
+}
