--- a/internal/proxy/rate_test.go
+++ b/internal/proxy/rate_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"bronzedoor.dev/bronzedoor/internal/fakes"
+	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
 // An arrivalLog records when requests arrive at a replica. It is safe for concurrent
@@ -124,3 +126,41 @@
 		})
 	}
 }
+
+// TestColdRateWakesQueue guards against requests that wait for the rate of cold
+// upstreams and aren't sent once it allows them, after a second at most: nothing woke
+// them when no other attempt was in flight.
+func TestColdRateWakesQueue(t *testing.T) {
+	runScenario(t, 1, func(s *scenario) {
+		is := is.New(s.t)
+		s.setObjective(8 * time.Second) // a request waits in the queue for a quarter of it
+		table := *s.table
+		table.Services = []route.Service{{Name: "single", ColdRate: 10}}
+		s.proxy.SetTable(route.New(table))
+		for _, u := range s.upstreams["single"] {
+			u.ColdUntil = time.Now().Add(time.Minute)
+		}
+		s.publish()
+		const requests = 14 // more than the three upstreams take in a second
+		out := make(chan Answer, requests)
+		begun := time.Now()
+		for i := range requests {
+			go (&readCaller{scenario: s, number: i, out: out}).run()
+		}
+		for range requests {
+			is.Equal((<-out).Kind, Served)
+		}
+		is.True(time.Since(begun) < 1200*time.Millisecond)
+	})
+}
+
+// A readCaller sends one request for a single service.
+type readCaller struct {
+	scenario *scenario
+	number   int
+	out      chan<- Answer
+}
+
+func (c *readCaller) run() {
+	c.out <- c.scenario.serve(c.scenario.t.Context(), fmt.Sprint("r", c.number), "/read/1")
+}
