client: tests of many endless upstreams open no network connections

Traced: eight copies of it at once on two cores each show 'dial tcp: i/o timeout', the pool's dial timeout of 1 s; the test opened 200 TCP connections at a time.

--- a/internal/client/endless_test.go
+++ b/internal/client/endless_test.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// dial returns a connection to the upstream that needs no network: on a busy machine,
+// hundreds of TCP connections at once may take longer than dialTimeout.
+func (u *endlessUpstream) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go (&endlessConn{endlessUpstream: u, conn: server}).run()
+	return client, nil
+}
+
 type endlessConn struct {
 	*endlessUpstream
 	conn net.Conn
@@ -122,7 +130,8 @@
 	const upstreams = 100
 	is := is.New(t)
 	u := &endlessUpstream{begin: "HTTP/1.1 200 OK\r\nA: ", piece: strings.Repeat("x", 4096)}
-	p := newEndlessPool(t, u)
+	p := newPool(t, &scriptedUpstream{})
+	p.Dial = u.dial
 	p.SetMaxOpen(upstreams)
 	var before, after runtime.MemStats
 	runtime.GC()
@@ -157,7 +166,8 @@
 	is := is.New(t)
 	memory := &Memory{Max: 16 << 20}
 	u := &endlessUpstream{begin: "HTTP/1.1 200 OK\r\n\r\n", piece: strings.Repeat("x", 32<<10), pause: time.Millisecond}
-	p := newEndlessPool(t, u)
+	p := newPool(t, &scriptedUpstream{})
+	p.Dial = u.dial
 	p.Memory = memory
 	p.SetMaxOpen(upstreams)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
