--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -25,9 +25,9 @@
 	fetchTimeout      = 2 * time.Second // for one read from a peer
 )
 
-// RestoreHold is how long a configuration stays in force after the store has come back
+// restoreHold is how long a configuration stays in force after the store has come back
 // from an older copy, until operators have written again what the copy lacks.
-const RestoreHold = 2 * time.Second
+const restoreHold = 2 * time.Second
 
 // ErrRestored is returned by Follower.Watch when the store was restored from an older
 // copy after the requested revision.
@@ -144,7 +144,7 @@
 	}
 }
 
-// relist reads all objects, after RestoreHold, and replaces the configuration by them.
+// relist reads all objects, after restoreHold, and replaces the configuration by them.
 // before is the revision that the store has lost. Another goroutine may have done so
 // meanwhile.
 func (f *Follower) relist(ctx context.Context, before uint64) error {
@@ -154,7 +154,7 @@
 		return nil
 	}
 	f.Log.Emit(event.StoreRestored, event.Fields{Step: "watch", Detail: "after revision " + feed.Revision(before).String()})
-	delay.Sleep(ctx, RestoreHold)
+	delay.Sleep(ctx, restoreHold)
 	var all Page
 	for all.More = true; all.More; {
 		p, err := f.Watch(ctx, all.Revision, 0)
