--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -40,7 +40,7 @@
 }
 
 // sameState reports whether two revisions of an object are one state of it, which a
-// restored store has in a later era.
+// restored store has in a later epoch.
 func (o Object) sameState(other Object) bool {
 	return o.Revision.Number() == other.Revision.Number() && bytes.Equal(o.Body, other.Body)
 }
@@ -155,7 +155,7 @@
 	if t.rev == 0 || c.Revision > t.rev || c.Digest == t.digest && c.Revision > 0 {
 		return out, false
 	}
-	out.Full = c.Revision < t.compacted || c.Revision == t.rev || c.Revision.Era() < t.rev.Era()
+	out.Full = c.Revision < t.compacted || c.Revision == t.rev || c.Revision.Epoch() < t.rev.Epoch()
 	for _, o := range t.objects {
 		if out.Full || o.Revision > c.Revision {
 			out.Objects = append(out.Objects, o)
@@ -272,7 +272,7 @@
 		t.objects = make(map[string]Object)
 		t.tombstones = make(map[string]Revision)
 	}
-	t.noteEra(rev)
+	t.noteEpoch(rev)
 	var accepted []Object
 	for _, o := range changes {
 		old, known := t.objects[o.Name]
@@ -312,10 +312,10 @@
 	}
 }
 
-// noteEra logs and reports a restore of the store. rev is the revision of the objects
+// noteEpoch logs and reports a restore of the store. rev is the revision of the objects
 // that are about to be applied. The mutex is held.
-func (t *Topic) noteEra(rev Revision) {
-	if t.rev == 0 || rev.Era() <= t.rev.Era() {
+func (t *Topic) noteEpoch(rev Revision) {
+	if t.rev == 0 || rev.Epoch() <= t.rev.Epoch() {
 		return
 	}
 	t.Log.Emit(event.StoreRestored, event.Fields{Step: "follow", Class: t.Name, Detail: fmt.Sprintf("revision %v after %v", rev, t.rev)})
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -9,22 +9,22 @@
 
 func TestRevision(t *testing.T) {
 	tests := []struct {
-		era, number uint64
-		text        string
+		epoch, number uint64
+		text          string
 	}{
 		{0, 0, "0"},
 		{0, 71, "71"},
 		{2, 70, "2/70"},
-		{1<<EraBits - 1, 1<<numberBits - 1, "65535/281474976710655"},
+		{1<<EpochBits - 1, 1<<numberBits - 1, "65535/281474976710655"},
 	}
 	for _, tt := range tests {
 		is := is.New(t)
-		r := NewRevision(tt.era, tt.number)
-		is.Equal(r.Era(), tt.era)
+		r := NewRevision(tt.epoch, tt.number)
+		is.Equal(r.Epoch(), tt.epoch)
 		is.Equal(r.Number(), tt.number)
 		is.Equal(r.String(), tt.text)
 	}
-	is.New(t).True(NewRevision(2, 1) > NewRevision(1, 9)) // a later era comes later
+	is.New(t).True(NewRevision(2, 1) > NewRevision(1, 9)) // a later epoch comes later
 }
 
 // TestRestoredTopic guards against a topic that keeps objects which the store has lost
@@ -46,8 +46,8 @@
 			}
 		}, Restored: func() { restores++ }}
 	}
-	object := func(name string, era, number uint64, body string) Object {
-		return Object{Name: name, Revision: NewRevision(era, number), Body: []byte(body)}
+	object := func(name string, epoch, number uint64, body string) Object {
+		return Object{Name: name, Revision: NewRevision(epoch, number), Body: []byte(body)}
 	}
 	reader, follower := newTopic(), newTopic()
 	read := func(l List) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if since != 0 && feed.Revision(since).Era() != restores {
+	if since != 0 && feed.Revision(since).Epoch() != restores {
 		return Page{}, fault.Wrap(ErrRestored, "watch", c.ObjectsAddr)
 	}
 	l.Revision = compose(restores, l.Revision)
@@ -245,7 +245,7 @@
 		return 0, fault.New(step, host, "server responded with status %s: %s", resp.Status, strings.TrimSpace(string(b)))
 	}
 	if value := resp.Header.Get(HeaderRestores); value != "" {
-		restores, err = strconv.ParseUint(value, 10, feed.EraBits)
+		restores, err = strconv.ParseUint(value, 10, feed.EpochBits)
 	}
 	if err == nil {
 		err = json.Unmarshal(b, out)
