proxy, roster: one way to make a test's upstreams cold; two comments

Two tests made the upstreams of a service cold with the same lines. The fields of a departure and the admission of an attempt say what they hold. No logic changes; the same checks run.

--- a/internal/proxy/limits_test.go
+++ b/internal/proxy/limits_test.go
@@ -19,13 +19,7 @@
 func TestColdReplica(t *testing.T) {
 	runScenario(t, 1, func(s *scenario) {
 		is := is.New(s.t)
-		table := *s.table
-		table.Services = []route.Service{{Name: "single", ColdRate: 10}}
-		s.proxy.SetTable(route.New(table))
-		for _, u := range s.upstreams["single"] {
-			u.ColdUntil = time.Now().Add(time.Minute)
-		}
-		s.publish()
+		s.makeCold()
 		begun := time.Now()
 		for range 50 {
 			s.send("/read/1")
@@ -39,6 +33,17 @@
 	})
 }
 
+// makeCold sets a cold rate for the service "single" and makes its upstreams cold.
+func (s *scenario) makeCold() {
+	table := *s.table
+	table.Services = []route.Service{{Name: "single", ColdRate: 10}}
+	s.proxy.SetTable(route.New(table))
+	for _, u := range s.upstreams["single"] {
+		u.ColdUntil = time.Now().Add(time.Minute)
+	}
+	s.publish()
+}
+
 // coldArrivals makes the upstreams of "single" cold before the table sets a cold
 // rate, then sends 100 requests at once. It returns the number that arrived at each
 // upstream within a second, and this daemon's share of the cold rate.
--- a/internal/proxy/rate_test.go
+++ b/internal/proxy/rate_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"bronzedoor.dev/bronzedoor/internal/fakes"
-	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
 // An arrivalLog records when requests arrive at a replica. It is safe for concurrent
@@ -134,13 +133,7 @@
 	runScenario(t, 1, func(s *scenario) {
 		is := is.New(s.t)
 		s.setObjective(8 * time.Second) // a request waits in the queue for a quarter of it
-		table := *s.table
-		table.Services = []route.Service{{Name: "single", ColdRate: 10}}
-		s.proxy.SetTable(route.New(table))
-		for _, u := range s.upstreams["single"] {
-			u.ColdUntil = time.Now().Add(time.Minute)
-		}
-		s.publish()
+		s.makeCold()
 		const requests = 14 // more than the three upstreams take in a second
 		out := make(chan Answer, requests)
 		begun := time.Now()
--- a/internal/proxy/shardrequest.go
+++ b/internal/proxy/shardrequest.go
@@ -76,8 +76,8 @@
 	shardRequest *shardRequest
 	upstream     *upstream
 	started      time.Time
-	admission    admission
-	charged      bool // it is charged to the budget for retries and hedges
+	admission    admission // under the rate limits of the upstream; its done is called once the result is known
+	charged      bool      // it is charged to the budget for retries and hedges
 }
 
 // run sends the shard request and delivers the result.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,8 +69,8 @@
 
 // A departure says which process of an upstream has left, and when.
 type departure struct {
-	startMs int64
-	at      time.Time
+	startMs int64     // start of the process, as Upstream.StartMs
+	at      time.Time // when its registration was removed
 }
 
 // An entry is an upstream, registered or in its grace period.
