review: a raised header limit is not in force on running daemons

Rule: CONFIG (and DENIED).

Seen: 9 s after version 8 raised MaxHeaderBytes from 16384 to 32768 was acknowledged, a running daemon answers requests with headers of 24 kB with its own 431, while a route that version 8 adds is served. Consumers don't retry 431.

Cause: applyHeaderLimits in internal/server/server.go sets the limits of the http.Server once, before it serves. No later table changes them.

--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -37,14 +37,14 @@
 }
 
 // startLedger starts the store, six searchers of each service and a daemon.
-func startLedger(s *scene, work time.Duration) (*daemon, []*searcher, error) {
+func startLedger(s *scene, work time.Duration, config map[string]any) (*daemon, []*searcher, error) {
 	st, err := newStore(s.rec, "127.0.0.1")
 	if err != nil {
 		return nil, nil, err
 	}
 	s.store = st
 	s.atEnd(st.stop)
-	st.put("config", "main", ledgerConfig(7), nil)
+	st.put("config", "main", config, nil)
 	var all []*searcher
 	for _, service := range []string{ledgerService, bookService} {
 		for i := range 6 {
@@ -84,7 +84,7 @@
 // runDrain stops a daemon with SIGTERM while consumers use kept connections. The rule
 // LOST is broken if a request that was read and passed on ends without an answer.
 func runDrain(s *scene) (bool, error) {
-	d, searchers, err := startLedger(s, drainWork)
+	d, searchers, err := startLedger(s, drainWork, ledgerConfig(7))
 	if err != nil {
 		return false, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -49,7 +49,8 @@
 // cases are the cases by name. Each reports whether the rule was broken, or an error
 // if it could not run.
 var cases = map[string]func(s *scene) (broken bool, err error){
-	"drain": runDrain,
+	"drain":   runDrain,
+	"headers": runHeaders,
 }
 
 func main() {
