review: searchers that are gone get requests for longer than DrainMs

Seen: the daemon that reads the store for another one freezes just after a read, and the entries of three searchers of nine (twelve with those that replace them) are removed. The other daemon, in touch all the while, sends them requests until 4.5 s after the removal was acknowledged; DrainMs is 4 s.

Cause: a daemon reads the store itself only when its copy is 2.15 s old or more (due in internal/feed/follow.go), and then keeps what was removed in one go for another 2.2 s (GracePeriod in internal/roster/roster.go), looked at each 0.2 s. The sum is above DrainMs, which no code reads.

--- a/review/rig/daemon.go
+++ b/review/rig/daemon.go
@@ -57,6 +57,7 @@
 	peer  int // first port for traffic between daemons
 	dir   string
 	log   *os.File
+	store string // address of the store that it calls, if it has one of its own
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -109,6 +110,7 @@
 [Zones]
 zone-1 = "north"
 zone-2 = "north"
+zone-3 = "north"
 [Listen]
 Front = %q
 Ready = %q
@@ -228,25 +230,3 @@
 	}
 	return fmt.Errorf("daemon %s is not ready after %v", d.name, limit)
 }
-
-// peakMB returns the peak of the process's resident memory in MB, and what is resident now.
-func (d *daemon) peakMB() (peak, now float64) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0
-	}
-	for _, line := range strings.Split(string(b), "\n") {
-		f := strings.Fields(line)
-		if len(f) < 2 {
-			continue
-		}
-		kb, _ := strconv.ParseFloat(f[1], 64)
-		switch f[0] {
-		case "VmHWM:":
-			peak = kb / 1024
-		case "VmRSS:":
-			now = kb / 1024
-		}
-	}
-	return peak, now
-}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -51,6 +51,7 @@
 var cases = map[string]func(s *scene) (broken bool, err error){
 	"drain":   runDrain,
 	"headers": runHeaders,
+	"depart":  runDepart,
 }
 
 func main() {
--- a/review/rig/searcher.go
+++ b/review/rig/searcher.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	server  *http.Server
 	free    chan struct{}
 	stopped chan struct{}
+	silent  atomic.Bool // it registers no more
 	// behave replaces the usual answer of a request that it has begun to run, if it
 	// is not nil and returns true.
 	behave func(w http.ResponseWriter, r *http.Request) bool
@@ -65,7 +67,9 @@
 		for {
 			select {
 			case <-t.C:
-				s.beat(born)
+				if !s.silent.Load() {
+					s.beat(born)
+				}
 			case <-s.stopped:
 				return
 			}
@@ -83,7 +87,7 @@
 		"MaxConcurrency": s.slots, "State": s.state, "ColdLeftMs": 0, "Sequence": s.seq,
 	}
 	s.mu.Unlock()
-	s.store.put("servers", s.id, spec, map[string]any{"born": born})
+	s.store.register(s.id, spec, born)
 }
 
 func (s *searcher) stop() {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -36,7 +37,7 @@
 	objects map[string]map[string]event // by kind and name
 	history []event
 	changed chan struct{}
-	refuse  func(r *http.Request) int // status to refuse a call with; 0 or a nil func serves it
+	listed  map[string]time.Time // when the searchers were last listed, by the address of the store that was called
 }
 
 // newStore starts a store at a free port of ip.
@@ -45,23 +46,55 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{rec: rec, address: l.Addr().String(), rev: 100, objects: make(map[string]map[string]event), changed: make(chan struct{})}
+	s := &store{rec: rec, address: l.Addr().String(), rev: 100, objects: make(map[string]map[string]event), changed: make(chan struct{}), listed: make(map[string]time.Time)}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// alias serves the store at one more port of ip, so that calls of one daemon can be told
+// from those of others, and returns its address.
+func (s *store) alias(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = s.server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// lastListed returns when the searchers were last listed at an address of the store.
+func (s *store) lastListed(address string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed[address]
+}
+
 func (s *store) stop() {
 	_ = s.server.Close()
 }
 
-// put writes an object as the operator or a searcher does.
+// put writes an object as the operator does.
 func (s *store) put(kind, name string, spec any, extra map[string]any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.set(kind, name, spec, extra)
 }
 
+// register writes the entry of a searcher. It changes when more than Sequence changes.
+func (s *store) register(name string, spec map[string]any, born int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.objects["servers"][name]; ok {
+		old := maps.Clone(e.body["spec"].(map[string]any))
+		old["Sequence"] = spec["Sequence"]
+		if maps.Equal(old, spec) && e.body["born"] == born {
+			return
+		}
+	}
+	s.set("servers", name, spec, map[string]any{"born": born})
+}
+
 // set writes an object. The mutex is held.
 func (s *store) set(kind, name string, spec any, extra map[string]any) event {
 	s.rev++
@@ -88,6 +121,23 @@
 	s.changed = make(chan struct{})
 }
 
+// remove deletes objects of a kind in one go.
+func (s *store) remove(kind string, names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		e, ok := s.objects[kind][name]
+		if !ok {
+			continue
+		}
+		delete(s.objects[kind], name)
+		s.rev++
+		e.rev = s.rev
+		e.deleted = true
+		s.note(e)
+	}
+}
+
 // ServeHTTP serves the calls below /-/objects/.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rest, ok := strings.CutPrefix(r.URL.Path, "/-/objects/")
@@ -95,15 +145,6 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	s.mu.Lock()
-	refuse := s.refuse
-	s.mu.Unlock()
-	if refuse != nil {
-		if status := refuse(r); status != 0 {
-			w.WriteHeader(status)
-			return
-		}
-	}
 	kind, name, _ := strings.Cut(rest, "/")
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("Watch"):
@@ -141,6 +182,9 @@
 		items = append(items, s.objects[kind][name].body)
 	}
 	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": more, "CurrentRev": s.rev})
+	if a, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && kind == "servers" {
+		s.listed[a.String()] = time.Now()
+	}
 }
 
 func (s *store) serveOne(w http.ResponseWriter, kind, name string) {
