review: a shortened grace period is not in force on running daemons

Rule: LOST, around planned work (SIGTERM), after the settings have changed.

Seen: GraceS goes from 6 to 4 in the settings file, with SIGHUP. 6 s later the daemon gets SIGTERM, and SIGKILL 4 s after that. It reads requests of 3.5 and 3.7 s after SIGTERM and passes them on; they end without an answer when it is killed. The searchers work 600 ms on each.

Cause: Reload in internal/server/daemon.go applies the proxy's limits only; Drain keeps the grace period of the start and accepts until 4.2 s.

--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -89,7 +89,7 @@
 		return false, err
 	}
 	time.Sleep(drainSettle)
-	kept, err := openKept(s, d)
+	kept, err := openKept(s, d, 2*len(drainSendTimes))
 	if err != nil {
 		return false, err
 	}
@@ -111,12 +111,12 @@
 		})
 	}
 	wg.Wait()
-	return judgeDrain(s, searchers, answers), nil
+	return judgeLost(s, searchers, answers, drainSendTimes, drainGrace), nil
 }
 
-// openKept opens the connections of all consumers with one request each, and keeps them.
-func openKept(s *scene, d *daemon) ([]*consumer, error) {
-	kept := make([]*consumer, 2*len(drainSendTimes))
+// openKept opens n connections of consumers with one request each, and keeps them.
+func openKept(s *scene, d *daemon, n int) ([]*consumer, error) {
+	kept := make([]*consumer, n)
 	errs := make([]error, len(kept))
 	var wg sync.WaitGroup
 	for i := range kept {
@@ -138,21 +138,21 @@
 	return kept, errors.Join(errs...)
 }
 
-// judgeDrain reports whether a request that was passed on to a searcher ended without an
-// answer before its time limit.
-func judgeDrain(s *scene, searchers []*searcher, answers []answer) bool {
+// judgeLost reports whether a request that was sent over 3 s after SIGTERM and was passed
+// on to a searcher ended without an answer. Two requests were sent at each time.
+func judgeLost(s *scene, searchers []*searcher, answers []answer, sent []time.Duration, grace time.Duration) bool {
 	lost := 0
 	for i, a := range answers {
 		ran := 0
 		for _, r := range searchers {
 			ran += r.ran(a.id)
 		}
-		if a.status != 0 || ran == 0 || drainSendTimes[i/2] <= 3*time.Second {
+		if a.status != 0 || ran == 0 || sent[i/2] <= 3*time.Second {
 			continue
 		}
 		lost++
-		s.rec.add("LOST: request %s, sent %v after SIGTERM, was begun %d times by a searcher and its connection ended without an answer %v after SIGTERM, before GraceS (%v) was over",
-			a.id, drainSendTimes[i/2], ran, (drainSendTimes[i/2] + a.took).Round(time.Millisecond), drainGrace)
+		s.rec.add("LOST: request %s, sent %v after SIGTERM, was begun %d times by a searcher and its connection ended without an answer %v after SIGTERM, with GraceS at %v",
+			a.id, sent[i/2], ran, (sent[i/2] + a.took).Round(time.Millisecond), grace)
 	}
 	s.rec.add("%d requests lost of %d", lost, len(answers))
 	return lost > 0
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -50,6 +50,7 @@
 // if it could not run.
 var cases = map[string]func(s *scene) (broken bool, err error){
 	"drain":   runDrain,
+	"grace":   runGrace,
 	"headers": runHeaders,
 	"depart":  runDepart,
 }
