Review: stand-ins for a change of GraceS and for a drill

The store can come back from an older copy (Store-Era), searchers write their registration at each heartbeat and may become cold again, and consumers can keep connections through a stop.

--- a/review/rig2/extra.go
+++ b/review/rig2/extra.go
@@ -30,15 +30,16 @@
 // While it is faulty, additional bytes follow some of them, late: at the point where the
 // next response is expected.
 type faultySearcher struct {
-	id      string
-	service string
-	zone    string
-	work    time.Duration
-	sheds   bool // the additional bytes are those of a rejection, otherwise of a part
-	faulty  atomic.Bool
-	record  *record
-	runs    *runCount // nil if requests may run more than once
-	address string
+	id        string
+	service   string
+	zone      string
+	work      time.Duration
+	sheds     bool // the additional bytes are those of a rejection, otherwise of a part
+	faulty    atomic.Bool
+	record    *record
+	runs      *runCount // nil if runs are not counted
+	mayRepeat bool      // requests may run more than once
+	address   string
 }
 
 // A runCount counts how often each request has run at all searchers.
@@ -127,7 +128,7 @@
 func (l *faultySearcher) run(id string) {
 	l.record.add("%s runs at %s", id, l.id)
 	if l.runs != nil {
-		if where := l.runs.add(id, l.id); len(where) > 1 {
+		if where := l.runs.add(id, l.id); len(where) > 1 && !l.mayRepeat {
 			l.record.broken("TWICE: %s has run at %v", id, where)
 		}
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -13,8 +13,10 @@
 // cases are the cases by name.
 var cases = map[string]func(r *record, trouble bool) error{
 	"cold":    coldCase,
+	"drill":   drillCase,
 	"extra":   extraCase,
 	"foreign": foreignCase,
+	"grace":   graceCase,
 }
 
 func main() {
--- a/review/rig2/searcher.go
+++ b/review/rig2/searcher.go
@@ -60,15 +60,37 @@
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	go func(server *http.Server) { _ = server.Serve(l) }(s.server)
 	go s.register(s.stop)
-	if cold {
-		stop := s.stop
-		time.AfterFunc(coldTime, func() { s.register(stop) }) // it is warm
-	}
+	go s.beat(s.stop)
 	return nil
 }
 
-// register writes the registration at the start. What fails is repeated soon. The entry
-// changes when more than Sequence changes, so nothing is written at a heartbeat.
+// heartbeat is the time between two writes of a registration (HeartbeatMs).
+const heartbeat = 1200 * time.Millisecond
+
+// beat writes the registration at each heartbeat. The store makes no change of a write that
+// has nothing new.
+func (s *searcher) beat(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(heartbeat):
+			s.write()
+		}
+	}
+}
+
+// chill makes the searcher cold again, which its registration says at once.
+func (s *searcher) chill() {
+	s.mu.Lock()
+	s.coldUntil = time.Now().Add(coldTime)
+	s.arrivals = nil
+	s.mu.Unlock()
+	s.record.add("%s is cold again", s.id)
+	s.write()
+}
+
+// register writes the registration at the start. What fails is repeated soon.
 func (s *searcher) register(stop chan struct{}) {
 	for {
 		select {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -23,6 +23,7 @@
 	events   []event                      // all changes, in order
 	changed  chan struct{}                // closed and replaced at each change
 	down     bool
+	era      uint64 // rises with each restore from a copy
 	server   *http.Server
 	address  string
 }
@@ -54,12 +55,40 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{revision: 10, objects: make(map[string]map[string]object), changed: make(chan struct{}), address: l.Addr().String()}
+	s := &store{revision: 10, era: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), address: l.Addr().String()}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// A storeCopy is a copy of a store.
+type storeCopy struct {
+	revision uint64
+	objects  map[string]map[string]object
+	events   []event
+}
+
+// backup copies the store.
+func (s *store) backup() *storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &storeCopy{revision: s.revision, objects: make(map[string]map[string]object), events: slices.Clone(s.events)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// restore brings the store back from a copy: what was written since is lost, and its
+// revisions are given out again.
+func (s *store) restore(c *storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects, s.events = c.revision, c.objects, c.events
+	s.wake()
+}
+
 // setDown sets whether the store is down.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
@@ -117,8 +146,9 @@
 		return
 	}
 	s.mu.Lock()
-	down := s.down
+	down, era := s.down, s.era
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	if down {
 		<-r.Context().Done()
 		return
@@ -160,11 +190,19 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("WaitMs"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	unknown, era := since > s.revision, s.era
+	s.mu.Unlock()
+	if unknown {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
 	for {
 		events, revision, changed, quiet := s.since(kind, since)
 		if len(events) == 0 || quiet {
 			select {
 			case <-changed:
+				s.endIfRestored(era)
 				continue
 			case <-r.Context().Done():
 				return
@@ -180,6 +218,15 @@
 	}
 }
 
+// endIfRestored ends a watch without an answer if the store has been restored since.
+func (s *store) endIfRestored(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era != era {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // since returns the changes of a kind after a revision, the store's revision, a channel
 // that is closed at the next change, and whether watches hear nothing.
 func (s *store) since(kind string, since uint64) (events []event, revision uint64, changed chan struct{}, quiet bool) {
