--- a/review/rig2/cold.go
+++ b/review/rig2/cold.go
@@ -24,12 +24,15 @@
 	}
 }
 
-// gatherConfig is a desired state with one route to three shards.
+// gatherConfig is a desired state with a route to three shards, and one to a single service.
 func gatherConfig() map[string]any {
 	c := config("idempotent", 2500*time.Millisecond)
 	c["Routes"] = []map[string]any{{
 		"Name": "r-all", "Host": "h.example", "PathPrefix": "/one/", "Gather": []string{"s1", "s2", "s3"}, "RouteType": "idempotent",
 		"TimeoutMs": 2500, "SloMs": 250, "Priority": 1, "Attempts": 2, "TopK": 5, "MinShardRatio": 0.75, "AllowedRegions": []string{},
+	}, {
+		"Name": "r-ledger", "Host": "h.example", "PathPrefix": "/ledger/", "Service": "s4", "RouteType": "idempotent",
+		"TimeoutMs": 2500, "SloMs": 300, "Priority": 2, "Attempts": 2, "AllowedRegions": []string{},
 	}}
 	return c
 }
--- a/review/rig2/consumer.go
+++ b/review/rig2/consumer.go
@@ -64,7 +64,7 @@
 			status = 0
 		}
 		_ = resp.Body.Close()
-		c.record.checkParts(id, status, resp.Header.Values("Part-Stamps"))
+		c.record.checkStamps(id, status, resp.Header)
 	}
 	c.record.answer(id, status, time.Since(begun))
 }
@@ -82,6 +82,8 @@
 		}
 		if method == http.MethodPost {
 			c.body = []byte("amount=100")
+		} else if i%4 == 3 {
+			c.path = "/ledger/x"
 		}
 		wg.Add(1)
 		go c.run(ctx, &wg)
--- a/review/rig2/extra.go
+++ b/review/rig2/extra.go
@@ -195,8 +195,8 @@
 	return runFaulty(r, s, searchers, http.MethodPost, trouble)
 }
 
-// foreignCase has searchers of three shards that send the bytes of an earlier part after
-// some responses.
+// foreignCase has searchers of three shards and of a single service that send the bytes of an
+// earlier answer after some responses.
 func foreignCase(r *record, trouble bool) error {
 	s, err := newStore()
 	if err != nil {
@@ -204,8 +204,8 @@
 	}
 	s.write("config", "main", gatherConfig())
 	var searchers []*faultySearcher
-	for i := range 9 {
-		searchers = append(searchers, &faultySearcher{id: fmt.Sprintf("i-%d", i+1), service: fmt.Sprintf("s%d", i%3+1), zone: fmt.Sprintf("z%d", i/3+1), work: 20 * time.Millisecond, record: r})
+	for i := range 12 {
+		searchers = append(searchers, &faultySearcher{id: fmt.Sprintf("i-%d", i+1), service: fmt.Sprintf("s%d", i%4+1), zone: fmt.Sprintf("z%d", i/4+1), work: 20 * time.Millisecond, record: r})
 	}
 	return runFaulty(r, s, searchers, http.MethodGet, trouble)
 }
--- a/review/rig2/record.go
+++ b/review/rig2/record.go
@@ -104,16 +104,19 @@
 	}
 }
 
-// checkParts checks that all parts of a success are answers to its request.
-func (r *record) checkParts(id string, status int, values []string) {
+// checkStamps checks that a success, or all its parts, are answers to its request.
+func (r *record) checkStamps(id string, status int, h http.Header) {
 	if status/100 != 2 {
 		return
 	}
-	for _, stamp := range strings.Split(strings.Join(values, ","), ",") {
+	for _, stamp := range strings.Split(strings.Join(h.Values("Part-Stamps"), ","), ",") {
 		if stamp = strings.TrimSpace(stamp); stamp != "" && !strings.HasPrefix(stamp, id+".") {
 			r.broken("MIXED: the answer to %s has the part with the MAC %s, of another request", id, stamp)
 		}
 	}
+	if stamp := h.Get("Server-Stamp"); stamp != "" && !strings.HasPrefix(stamp, id+".") {
+		r.broken("MIXED: the answer to %s is the one with the MAC %s, to another request", id, stamp)
+	}
 }
 
 // crash records the end of a searcher.
