--- a/review/rig2/daemon.go
+++ b/review/rig2/daemon.go
@@ -103,22 +103,34 @@
 	dir     string
 }
 
-// startFleet starts n daemons, and waits until all are ready.
+// startFleet starts n daemons, and waits until all are ready. After an error none is left.
 func startFleet(s *store, n int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{dir: dir}
-	// All daemons of a fleet use the same ports on addresses of their own.
-	ports, err := freePorts(3)
+	err = f.start(s, n)
+	if err == nil {
+		err = f.awaitReady(10 * time.Second)
+	}
 	if err != nil {
+		f.stop()
 		return nil, err
 	}
+	return f, nil
+}
+
+// start starts n daemons. All use the same ports, on addresses of their own.
+func (f *fleet) start(s *store, n int) error {
+	ports, err := freePorts(3)
+	if err != nil {
+		return err
+	}
 	// Runs at the same time need different addresses, as the port of the metrics is fixed.
 	prefix := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%64, 1+os.Getpid()/64%250)
 	for i := range n {
-		d := &daemon{name: fmt.Sprintf("edge-z%d-1", i%3+1), dir: dir}
+		d := &daemon{name: fmt.Sprintf("edge-z%d-1", i%3+1), dir: f.dir}
 		ip := fmt.Sprintf("%s.%d", prefix, 10+i)
 		d.front, d.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 		text := strings.NewReplacer(
@@ -127,14 +139,14 @@
 			"STORE", s.address, "MEMORY", fmt.Sprint(memoryMb),
 		).Replace(settingsText)
 		if err := os.WriteFile(d.file("toml"), []byte(text), 0o600); err != nil {
-			return nil, err
+			return err
 		}
-		f.daemons = append(f.daemons, d)
 		if err := d.start(); err != nil {
-			return nil, err
+			return err
 		}
+		f.daemons = append(f.daemons, d)
 	}
-	return f, f.awaitReady(10 * time.Second)
+	return nil
 }
 
 // file returns the path of a file of the daemon.
