client: attempts share the request's head and body

Cause: each attempt cloned the header and encoded head and body into a buffer of its own. Why it works: what all attempts have in common is encoded once, from the caller's fields without those of a single connection.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/body"
+	"bronzedoor.dev/bronzedoor/internal/quota"
 )
 
 // A Request is a caller's request as it is forwarded to an upstream. It is shared
@@ -22,8 +24,36 @@
 	Method string
 	Target string // path and query, unmodified
 	Host   string
-	Header http.Header // without hop-by-hop fields
+	Fields []byte // header lines, without hop-by-hop fields and those of Codec.Header
 	Body   []byte
+
+	encodeHead sync.Once
+	head       []byte // set by encodeHead
+}
+
+// sharedHead returns the beginning of the request's head, which is the same for all
+// attempts: everything but the fields of Codec.Header and the empty line at the end. It is
+// encoded once, as a request may have very many long header lines, and attempts at all
+// shards at the same time.
+func (r *Request) sharedHead() []byte {
+	r.encodeHead.Do(func() {
+		var b bytes.Buffer
+		b.Grow(512 + len(r.Target) + len(r.Fields))
+		b.WriteString(r.Method)
+		b.WriteByte(' ')
+		b.WriteString(r.Target)
+		b.WriteString(" HTTP/1.1\r\nHost: ")
+		b.WriteString(r.Host)
+		b.WriteString("\r\n")
+		if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+			b.WriteString("Content-Length: ")
+			b.WriteString(strconv.Itoa(len(r.Body)))
+			b.WriteString("\r\n")
+		}
+		b.Write(r.Fields)
+		r.head = b.Bytes()
+	})
+	return r.head
 }
 
 // A Result says what is known about a request after an attempt to send it.
@@ -72,7 +102,7 @@
 
 // A Codec defines the headers that are exchanged with an upstream.
 type Codec struct {
-	// Header returns the header of a request to the upstream process with the
+	// Header returns the header fields of one attempt, at the upstream process with the
 	// given ID; remaining is the time until the request's deadline.
 	Header func(req *Request, id string, remaining time.Duration) http.Header
 	// Decode classifies a complete response.
@@ -135,14 +165,22 @@
 
 // A writer writes a request in the background while the response is being read.
 type writer struct {
-	conn net.Conn
-	data []byte
-	done chan error
+	conn  net.Conn
+	parts [][]byte
+	done  chan error
 }
 
 func (w *writer) run() {
-	_, err := w.conn.Write(w.data)
-	w.done <- err
+	w.done <- w.write()
+}
+
+func (w *writer) write() error {
+	for _, part := range w.parts {
+		if _, err := w.conn.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // An aborter interrupts blocked reads and writes on a connection when the
@@ -163,8 +201,7 @@
 		return Reply{Result: Unsent, Err: ctx.Err()}, true
 	}
 	stop := context.AfterFunc(ctx, (&aborter{conn: c.net}).abort)
-	data := encode(req, p.Codec.Header(req, p.ID, remaining))
-	written, n, err := c.send(data)
+	written, n, err := c.send(req, p.Codec.Header(req, p.ID, remaining))
 	if err != nil {
 		stop()
 		re := Reply{Result: Unknown, Err: cause(ctx, err)}
@@ -204,22 +241,37 @@
 	return err
 }
 
-// send writes a request and returns the number of bytes written. A request above
-// maxSyncWrite is written in the background, as the upstream may respond before it
-// has read all: the channel then delivers the result of the write, and n is 0.
-func (c *conn) send(data []byte) (written chan error, n int, err error) {
-	if len(data) <= maxSyncWrite {
-		n, err = c.net.Write(data)
+// send writes a request, with the fields of this attempt, and returns the number of bytes
+// written. A request above maxSyncWrite is written in the background, as the upstream may
+// respond before it has read all: the channel then delivers the result of the write, and n
+// is 0. What attempts have in common is not copied then.
+func (c *conn) send(req *Request, fields http.Header) (written chan error, n int, err error) {
+	head := req.sharedHead()
+	var b bytes.Buffer
+	short := len(head)+len(req.Body) <= maxSyncWrite
+	if short {
+		b.Grow(len(head) + attemptFieldsSize + len(req.Body))
+		b.Write(head)
+	}
+	// Writing to a bytes.Buffer never fails.
+	_ = fields.Write(&b)
+	b.WriteString("\r\n")
+	if short {
+		b.Write(req.Body)
+		n, err = c.net.Write(b.Bytes())
 		return nil, n, err
 	}
-	w := &writer{conn: c.net, data: data, done: make(chan error, 1)}
+	w := &writer{conn: c.net, parts: [][]byte{head, b.Bytes(), req.Body}, done: make(chan error, 1)}
 	go w.run()
 	return w.done, 0, nil
 }
 
+// attemptFieldsSize is the usual size in bytes of the fields of one attempt.
+const attemptFieldsSize = 128
+
 // read returns the next final response and its complete body. It skips
 // informational (1xx) responses. memory limits long bodies.
-func (c *conn) read(method string, memory *Memory) (*http.Response, []byte, error) {
+func (c *conn) read(method string, memory *quota.Quota) (*http.Response, []byte, error) {
 	c.limit.allow(maxHead)
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
@@ -236,25 +288,3 @@
 		return resp, b, err
 	}
 }
-
-// encode returns a request in HTTP/1.1 wire format.
-func encode(req *Request, h http.Header) []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
-	b.WriteString(req.Method)
-	b.WriteByte(' ')
-	b.WriteString(req.Target)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(req.Host)
-	b.WriteString("\r\n")
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(req.Body)))
-		b.WriteString("\r\n")
-	}
-	// Writing to a bytes.Buffer never fails.
-	_ = h.Write(&b)
-	b.WriteString("\r\n")
-	b.Write(req.Body)
-	return b.Bytes()
-}
--- a/internal/client/endless_test.go
+++ b/internal/client/endless_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bronzedoor.dev/bronzedoor/internal/quota"
 )
 
 // An endlessUpstream answers each request with a beginning, and then repeats a piece
@@ -164,7 +166,7 @@
 func TestEndlessBodiesMemory(t *testing.T) {
 	const upstreams = 200
 	is := is.New(t)
-	memory := &Memory{Max: 16 << 20}
+	memory := &quota.Quota{Max: 16 << 20}
 	u := &endlessUpstream{begin: "HTTP/1.1 200 OK\r\n\r\n", piece: strings.Repeat("x", 32<<10), pause: time.Millisecond}
 	p := newPool(t, &scriptedUpstream{})
 	p.Dial = u.dial
@@ -193,12 +195,42 @@
 			}
 		default:
 			is.Equal(ordinary.Do(t.Context(), getRequest("a"), time.Now().Add(time.Minute), false).Result, Succeeded)
-			peak = max(peak, memory.used.Load())
+			peak = max(peak, memory.Used())
 		}
 	}
 	t.Logf("%d of %d were given up for want of memory, at most %d KB were used", memoryErrors, upstreams, peak>>10)
 	is.True(memoryErrors > 0)
 	is.True(peak <= memory.Max)
-	is.Equal(memory.used.Load(), int64(0))
+	is.Equal(memory.Used(), int64(0))
 	is.Equal(p.open, 0)
 }
+
+// TestAttemptsShareRequest guards against a copy of a long request for each attempt: those at
+// all shards of a route are made at the same time.
+func TestAttemptsShareRequest(t *testing.T) {
+	const attempts, fieldBytes, bodyBytes = 50, 64 << 10, 1 << 20
+	is := is.New(t)
+	received := make(chan int64, attempts)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body) // the number says whether it was complete
+		received <- n + int64(len(r.Header.Get("Long")))
+		w.Header().Set("Request", r.Header.Get("Request"))
+	}))
+	t.Cleanup(server.Close)
+	p := newPool(t, &scriptedUpstream{})
+	p.Address = server.Listener.Addr().String()
+	req := &Request{
+		ID: "1", Method: http.MethodPost, Target: "/p", Host: "h",
+		Fields: []byte("Long: " + strings.Repeat("x", fieldBytes) + "\r\n"),
+		Body:   make([]byte, bodyBytes),
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range attempts {
+		is.Equal(p.Do(t.Context(), req, time.Now().Add(time.Minute), false).Result, Succeeded)
+		is.Equal(<-received, int64(fieldBytes+bodyBytes))
+	}
+	runtime.ReadMemStats(&after)
+	// The server copies the fields.
+	is.True(after.TotalAlloc-before.TotalAlloc < attempts*(bodyBytes/2))
+}
--- a/internal/client/pool.go
+++ b/internal/client/pool.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"bronzedoor.dev/bronzedoor/internal/quota"
 )
 
 const (
@@ -49,7 +51,7 @@
 	ID      string // ID of the upstream's process, which is sent with each request
 	Codec   *Codec
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Memory  *Memory // of long responses, shared by all pools; nil for no limit
+	Memory  *quota.Quota // bytes of long responses, shared by all pools; nil for no limit
 	// Held reports whether the upstream is to get no requests now. It is asked when a
 	// request has its connection, which may take long. It may be nil.
 	Held func() bool
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
 	"bronzedoor.dev/bronzedoor/internal/limit"
+	"bronzedoor.dev/bronzedoor/internal/quota"
 	"bronzedoor.dev/bronzedoor/internal/roster"
 	"bronzedoor.dev/bronzedoor/internal/route"
 	"bronzedoor.dev/bronzedoor/internal/stated"
@@ -59,7 +60,7 @@
 	baseCtx    context.Context // canceled by Stop
 	serveCtx   context.Context // of all requests; canceled by Stop, and at the time given to AnswerBy
 	started    time.Time       // time of Start
-	memory     *client.Memory  // of long responses; nil for no limit
+	memory     *quota.Quota    // bytes of long responses; nil for no limit
 	splitter   route.Splitter
 	inFlight   atomic.Int64 // shard requests in flight
 	goroutines kernel.Group
@@ -83,7 +84,7 @@
 	p.serveCtx, p.cancelServe = context.WithCancel(p.baseCtx)
 	p.started = time.Now()
 	if p.MemoryLimit > 0 {
-		p.memory = &client.Memory{Max: p.MemoryLimit / longResponseShare}
+		p.memory = &quota.Quota{Max: p.MemoryLimit / longResponseShare}
 	}
 	go p.loop(p.baseCtx)
 	return nil
