server: heads are counted before they are parsed

Callers saw: a process ran out of memory by heads of very many short lines, of legal size or far over the limit or without end. Cause: net/http read up to 1 MiB of each head, whatever the configuration allowed, and its table of the lines takes some hundred bytes for each. Nobody counted it. Why it works: a caller's connection counts bytes and lines while it is within a head, and reserves memory for them before net/http sees them. What is read ahead counts for the next head on the connection. A single request of legal size is still served.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,7 @@
 	SettingNotInForce    ID = 819
 	UpstreamLeaving      ID = 820
 	UpstreamPaused       ID = 821
+	CallerRefused        ID = 822
 	LinesSuppressed      ID = 900
 )
 
@@ -79,6 +80,7 @@
 	maxPartialPerSecond = 5
 	maxChangesPerSecond = 20
 	maxBehindPerSecond  = 1
+	maxCallersPerSecond = 5
 )
 
 // Kinds returns the kinds of all events, in ascending order of their IDs.
@@ -129,6 +131,7 @@
 		{ID: SettingNotInForce, Name: "setting not in force", Level: logrus.ErrorLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: UpstreamLeaving, Name: "upstream leaving", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
 		{ID: UpstreamPaused, Name: "upstream asks for a pause", Level: logrus.InfoLevel, MaxPerSecond: maxChangesPerSecond},
+		{ID: CallerRefused, Name: "caller refused", Level: logrus.WarnLevel, MaxPerSecond: maxCallersPerSecond},
 		{ID: LinesSuppressed, Name: "lines left out", Level: logrus.WarnLevel},
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -27,9 +27,11 @@
 	// is sent as if it were on time.
 	promoteShare     = 0.5
 	defaultObjective = 300 * time.Millisecond // objective of a route without one
-	linger           = 400 * time.Millisecond // how long attempts in flight may go on after the answer
 )
 
+// Linger is how long attempts in flight may go on after the answer.
+const Linger = 400 * time.Millisecond
+
 // Serve sends a request to upstreams and returns the answer, shortly after the
 // deadline of the request at the latest. ctx is to be done when the caller has
 // disconnected. Serve may be called concurrently.
@@ -57,7 +59,7 @@
 	if stop() {
 		// Attempts in flight are not canceled at once, so that an upstream
 		// that is nearly done keeps its connection.
-		time.AfterFunc(linger, cancel)
+		time.AfterFunc(Linger, cancel)
 	} else if a.Kind != Served && a.Kind != Relayed {
 		// An answer that is ready is delivered even so: a caller that has
 		// closed only its sending side still reads it.
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -12,6 +12,7 @@
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
+	"bronzedoor.dev/bronzedoor/internal/quota"
 )
 
 // startConfigWait is how long a starting daemon waits for its configuration and
@@ -41,10 +42,15 @@
 	}
 	s.listener = &connListener{Listener: l, table: &s.conns}
 	s.conns.Limits = s.daemon.Limits
+	s.conns.Refused = s.daemon.noteRefused
+	if n := s.daemon.Settings.MemoryLimit; n > 0 {
+		s.conns.Memory = &quota.Quota{Max: n / shareOfLimit}
+	}
 	s.http = &http.Server{
-		Handler:        s.daemon.Handler,
+		Handler:        s,
 		MaxHeaderBytes: MaxHeaderBytes,
 		ConnState:      s.conns.track,
+		ConnContext:    withConn,
 	}
 	ctx = s.goroutines.Begin(ctx, 2)
 	go (&callerAccepter{s}).run(ctx)
@@ -52,6 +58,34 @@
 	return nil
 }
 
+// connKey is the key of a request's *conn in its context.
+type connKey struct{}
+
+// withConn is an http.Server's ConnContext hook.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// connOf returns the connection of a caller's request.
+func connOf(r *http.Request) *conn {
+	return r.Context().Value(connKey{}).(*conn)
+}
+
+// ServeHTTP passes a request on to the handler, unless its head, which may have been read
+// together with the request before, finds no memory left.
+func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := connOf(r)
+	if !c.reserve(c.head.memory()) {
+		s.conns.noteRefused(refusedMemory, c)
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", retryAfterSeconds(refusedMemory.RetryAfter))
+		w.WriteHeader(refusedMemory.Status)
+		return
+	}
+	c.served = true
+	s.daemon.Handler.ServeHTTP(w, r)
+}
+
 // A connExpirer closes connections whose callers take too long.
 type connExpirer struct {
 	server *callerServer
--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -4,10 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzedoor.dev/bronzedoor/internal/delay"
+	"bronzedoor.dev/bronzedoor/internal/quota"
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
@@ -24,6 +27,12 @@
 // state to the connTable that accepted it.
 type conn struct {
 	net.Conn
+	table *connTable
+	taken atomic.Int64 // bytes of table.Memory that are reserved for the current request
+
+	// head and served are used by one goroutine at a time: that which reads.
+	head   headCount
+	served bool // the current request was passed on to the handler
 
 	// mu is held while a deadline is set for an idle connection, and while one that
 	// has received bytes leaves that state. So a request that has been read, in whole
@@ -34,22 +43,40 @@
 	expired bool      // the read deadline has been set to end reading
 }
 
-// Read reads from the connection. The first bytes after an answer begin a request.
+// Read reads from the connection. The first bytes after an answer begin a request. If its
+// head is too long, or there is no memory left for it, the error is os.ErrDeadlineExceeded,
+// for which an http.Server closes the connection; the caller has got an answer then.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.beginHeader()
+	if n == 0 {
+		return n, err
+	}
+	inHead := c.beginHeader()
+	c.head.add(b, n, inHead)
+	if !inHead {
+		return n, err
+	}
+	if r := c.admitHead(); r != nil {
+		c.refuse(r)
+		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
-func (c *conn) beginHeader() {
+// beginHeader notes that bytes have come. It reports whether they are of a request's head.
+func (c *conn) beginHeader() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != connIdle {
-		return
+		return c.state == connHeader
 	}
 	c.state, c.since = connHeader, time.Now()
+	c.keep()
+	return true
+}
+
+// keep undoes cut. The mutex is held.
+func (c *conn) keep() {
 	if c.expired {
 		c.expired = false
 		// An error means that the connection is closed.
@@ -61,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = state, time.Now()
+	c.keep()
 }
 
 // expire ends the reading of the connection if it is in the given state for longer
@@ -71,6 +99,11 @@
 	if c.state != state || now.Sub(c.since) < timeout {
 		return
 	}
+	c.cut(now)
+}
+
+// cut ends the reading of the connection. The mutex is held.
+func (c *conn) cut(now time.Time) {
 	c.expired = true
 	// An error means that the connection is closed.
 	_ = c.SetReadDeadline(now)
@@ -82,7 +115,9 @@
 // server runs. Nor can Shutdown end idle connections: it may close one whose request has
 // just been read.
 type connTable struct {
-	Limits func() route.Limits // returns the limits in force
+	Limits  func() route.Limits // returns the limits in force
+	Memory  *quota.Quota        // bytes of callers' requests; nil for no limit
+	Refused func(r refusal, peer string)
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -125,8 +160,12 @@
 	case http.StateActive:
 		c.setState(connBusy)
 	case http.StateIdle:
+		c.release()
+		c.head.reset()
+		c.served = false
 		c.setState(connIdle)
 	case http.StateHijacked, http.StateClosed:
+		c.release()
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.conns, c)
@@ -146,7 +185,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, since: time.Now()}
+	c := &conn{Conn: nc, table: l.table, since: time.Now()}
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	if l.table.conns == nil {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -104,6 +104,7 @@
 	startup     *boot.Timeline
 	reloads     *prometheus.CounterVec // by result
 	notInForce  prometheus.Gauge       // settings that need a restart
+	refused     *prometheus.CounterVec // callers, by reason
 }
 
 // Start starts all services. If one fails to start, those already started are
@@ -111,6 +112,7 @@
 func (d *Daemon) Start(ctx context.Context) error {
 	registry := prometheus.NewRegistry()
 	d.registerSettingsMetrics(registry)
+	d.registerCallerMetrics(registry)
 	d.excluded = make(map[string]bool)
 	d.members = make(map[string]mirror.Member)
 	d.fleet.Self = mirror.Member{Name: d.Settings.Name, Address: d.Settings.PeerAddr, Domain: d.Settings.Domain, Region: d.Settings.Region}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -61,6 +61,21 @@
 	r.MustRegister(d.reloads, d.notInForce)
 }
 
+// registerCallerMetrics creates the metrics of callers' connections.
+func (d *Daemon) registerCallerMetrics(r prometheus.Registerer) {
+	d.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bronzedoor_callers_refused_total",
+		Help: "Callers that were refused before their request was complete, by reason.",
+	}, []string{"reason"})
+	r.MustRegister(d.refused)
+}
+
+// noteRefused counts and logs that a caller was refused.
+func (d *Daemon) noteRefused(r refusal, peer string) {
+	d.refused.WithLabelValues(r.Reason).Inc()
+	d.Log.Emit(event.CallerRefused, event.Fields{Step: "read", Peer: peer, Detail: r.Reason})
+}
+
 // GracePeriod returns the grace period in force.
 func (d *Daemon) GracePeriod() time.Duration {
 	return time.Duration(d.gracePeriod.Load())
