server: bodies reserve memory, and end with their request's time

Callers saw: a process ran out of memory by many large bodies of legal size, most of which stopped just short of their end and stayed open. Cause: a body was read into a buffer that nobody counted, and without any time limit. One whose request was rejected before was waited for in the same way, by net/http itself. TestBodyStops (virtual time) failed on the old code at its first case: no answer within 10 s; the others were not reached. Why it works: the buffer grows with what has come, by reserved memory of the same quota as heads. Without memory left the answer is 503 with Retry-After, and those that have taken more than a second give theirs up. The deadline of the request is that of its body: 408, which is true as nothing was passed on. The rest of a body that nobody reads has 500 ms.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -84,6 +84,9 @@
 	}
 	c.served = true
 	s.daemon.Handler.ServeHTTP(w, r)
+	if r.ContentLength != 0 {
+		c.leaveBody()
+	}
 }
 
 // A connExpirer closes connections whose callers take too long.
--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -20,6 +20,7 @@
 const (
 	connIdle   connState = iota // no byte of a request has been read since the last answer
 	connHeader                  // a request's header is being read
+	connBody                    // a request's body is being read
 	connBusy                    // a request is being served
 )
 
@@ -30,9 +31,10 @@
 	table *connTable
 	taken atomic.Int64 // bytes of table.Memory that are reserved for the current request
 
-	// head and served are used by one goroutine at a time: that which reads.
-	head   headCount
-	served bool // the current request was passed on to the handler
+	// These are used by one goroutine at a time: that which reads.
+	head      headCount
+	served    bool // the current request was passed on to the handler
+	bodyEnded bool // the body of the current request is complete, or its time is over
 
 	// mu is held while a deadline is set for an idle connection, and while one that
 	// has received bytes leaves that state. So a request that has been read, in whole
@@ -162,7 +164,7 @@
 	case http.StateIdle:
 		c.release()
 		c.head.reset()
-		c.served = false
+		c.served, c.bodyEnded = false, false
 		c.setState(connIdle)
 	case http.StateHijacked, http.StateClosed:
 		c.release()
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -199,7 +199,8 @@
 
 // tooSlow reports whether reading a request has taken too long. The mutex is held.
 func (c *conn) tooSlow(now time.Time) bool {
-	return c.state == connHeader && !c.expired && now.Sub(c.since) >= readPatience
+	reading := c.state == connHeader || c.state == connBody
+	return reading && !c.expired && now.Sub(c.since) >= readPatience
 }
 
 // expireSlow ends the reading of a request if it still takes too long.
