--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -22,18 +22,18 @@
 // RetryAfterMemory is the delay to suggest to a caller whose request got ErrBodyMemory.
 const RetryAfterMemory = retryAfterMemory
 
-// ReadBody reads the body of a caller's request, which has max bytes at most and is to be
+// ReadBody reads the body of a caller's request, which has limit bytes at most and is to be
 // complete at the time by.
-func (d *Daemon) ReadBody(r *http.Request, max int, by time.Time) ([]byte, error) {
+func (d *Daemon) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if r.ContentLength > int64(max) {
-		return nil, &body.TooLongError{Max: int64(max)}
+	if r.ContentLength > int64(limit) {
+		return nil, &body.TooLongError{Max: int64(limit)}
 	}
 	c := connOf(r)
 	c.beginBody(by)
-	b, err := c.readBody(r, max)
+	b, err := c.readBody(r, limit)
 	evicted := c.endBody(err)
 	if err == nil {
 		return b, nil
@@ -89,18 +89,18 @@
 	bufferGrowth = 4 // factor
 )
 
-// readBody reads a body of at most max bytes. It reserves the memory of its buffer.
-func (c *conn) readBody(r *http.Request, max int) ([]byte, error) {
+// readBody reads a body of at most limit bytes. It reserves the memory of its buffer.
+func (c *conn) readBody(r *http.Request, limit int) ([]byte, error) {
 	// The buffer has room for one more byte, which shows that the body is too long.
-	most := max + 1
+	most := limit + 1
 	if r.ContentLength > 0 {
 		most = int(r.ContentLength) + 1
 	}
 	b := make([]byte, 0, min(firstBuffer, most))
 	for {
 		if len(b) == cap(b) {
-			if len(b) > max {
-				return nil, &body.TooLongError{Max: int64(max)}
+			if len(b) > limit {
+				return nil, &body.TooLongError{Max: int64(limit)}
 			}
 			size := min(bufferGrowth*cap(b), most)
 			if !c.reserve(c.head.memory() + int64(cap(b)+size)) {
