server, client: connections have shares of the process's descriptors

Callers saw: while 1,000 clients of one daemon kept connections open and sent nothing, no ordinary caller got an answer. Cause: nothing bounded the connections of callers or those to upstreams; without a free descriptor the daemon could accept none, and took upstreams that it couldn't dial for dead. Why it works: callers have half of MaxFds, or what fits into a quarter of the memory. Above that a new connection takes the place of one on which nothing is being served: first of those that never had an answer and those that take too long for a request, then of idle ones, the oldest first. Connections to upstreams beyond one to each have a quarter; what finds none waits as it does at an upstream's own limit.

--- a/internal/client/pool.go
+++ b/internal/client/pool.go
@@ -52,6 +52,9 @@
 	Codec   *Codec
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	Memory  *quota.Quota // bytes of long responses, shared by all pools; nil for no limit
+	// Extra limits the connections of all pools together, beyond the first of each; nil for
+	// no limit.
+	Extra *quota.Quota
 	// Held reports whether the upstream is to get no requests now. It is asked when a
 	// request has its connection, which may take long. It may be nil.
 	Held func() bool
@@ -118,7 +121,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	established := p.open - p.dialing
-	if established > 0 && time.Now().Before(p.atLimitUntil) {
+	if established > 0 && (p.Extra.Full() || time.Now().Before(p.atLimitUntil)) {
 		return established
 	}
 	return max(min(p.maxOpen, established+max(established/2, 1)), 1)
@@ -192,7 +195,13 @@
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
-	if p.closed || p.open >= p.maxOpen {
+	return p.beginDial()
+}
+
+// beginDial counts a connection to be opened, and reports whether it may be. The pool's mutex
+// is held.
+func (p *Pool) beginDial() bool {
+	if p.closed || p.open >= p.maxOpen || p.open > 0 && !p.Extra.Take(1) {
 		return false
 	}
 	p.open++
@@ -200,8 +209,16 @@
 	return true
 }
 
+// countOut notes that a connection is open no longer. The pool's mutex is held.
+func (p *Pool) countOut() {
+	p.open--
+	if p.open > 0 {
+		p.Extra.Return(1)
+	}
+}
+
 // get returns an idle connection or opens one. It returns ErrBusy if the maximum
-// number is open or the pool is closed.
+// number is open, by itself or with other pools, or the pool is closed.
 func (p *Pool) get(ctx context.Context, recentOnly bool) (*conn, error) {
 	p.mu.Lock()
 	p.noteRequest(time.Now())
@@ -214,13 +231,11 @@
 		}
 		p.drop(c)
 	}
-	if p.closed || p.open >= p.maxOpen {
-		p.mu.Unlock()
+	ok := p.beginDial()
+	p.mu.Unlock()
+	if !ok {
 		return nil, ErrBusy
 	}
-	p.open++
-	p.dialing++
-	p.mu.Unlock()
 	return p.connect(ctx)
 }
 
@@ -255,7 +270,7 @@
 	defer p.mu.Unlock()
 	p.dialing--
 	if err != nil {
-		p.open--
+		p.countOut()
 		return nil, err
 	}
 	if took := time.Since(start); p.rtt == 0 || took < p.rtt {
@@ -306,7 +321,7 @@
 
 // drop closes a connection and counts it out. The pool's mutex is held.
 func (p *Pool) drop(c *conn) {
-	p.open--
+	p.countOut()
 	// The connection is discarded in any case, so an error does not matter.
 	_ = c.net.Close()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,6 +44,7 @@
 	CountedSince func() time.Time
 	Daemons      func() map[string]int // number of daemons by region; a nil func or map if unknown
 	MemoryLimit  int64                 // memory of the process in bytes, which limits the shard requests in flight; 0 means no limit
+	MaxConns     int                   // connections to upstreams, beyond one to each; 0 means no limit
 	Log          *event.Log
 	Metrics      *Metrics       // may be nil
 	Startup      *boot.Timeline // records the first request, reply and complete answer; may be nil
@@ -61,6 +62,7 @@
 	serveCtx   context.Context // of all requests; canceled by Stop, and at the time given to AnswerBy
 	started    time.Time       // time of Start
 	memory     *quota.Quota    // bytes of long responses; nil for no limit
+	extraConns *quota.Quota    // connections to upstreams, beyond one to each; nil for no limit
 	splitter   route.Splitter
 	inFlight   atomic.Int64 // shard requests in flight
 	goroutines kernel.Group
@@ -86,6 +88,9 @@
 	if p.MemoryLimit > 0 {
 		p.memory = &quota.Quota{Max: p.MemoryLimit / longResponseShare}
 	}
+	if p.MaxConns > 0 {
+		p.extraConns = &quota.Quota{Max: int64(p.MaxConns)}
+	}
 	go p.loop(p.baseCtx)
 	return nil
 }
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -51,7 +51,7 @@
 		group:   g,
 		replica: &health.Replica{Slots: info.Slots},
 		stated:  p.stated.Get(processKey(info)),
-		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial, Memory: p.memory},
+		pool:    &client.Pool{Address: info.Address, ID: info.ID, Codec: p.Codec, Dial: p.Dial, Memory: p.memory, Extra: p.extraConns},
 	}
 	u.pool.Held = func() bool { return u.stated.PauseWait(time.Now()) > 0 }
 	u.ctx, u.cancel = context.WithCancel(p.baseCtx)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// Full reports whether nothing is left.
+func (q *Quota) Full() bool {
+	return q != nil && q.used.Load() >= q.Max
+}
+
 // Used returns how much is reserved.
 func (q *Quota) Used() int64 {
 	if q == nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -43,12 +43,16 @@
 		is.Equal(t.over, 0)
 	}
 	is.Equal(q.Used(), int64(0))
+	is.True(!q.Full())
+	is.True(q.Take(10))
+	is.True(q.Full())
 }
 
 func TestNoQuota(t *testing.T) {
 	is := is.New(t)
 	var q *Quota
 	is.True(q.Take(1 << 40))
+	is.True(!q.Full())
 	q.Return(1 << 40)
 	is.Equal(q.Used(), int64(0))
 }
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -43,8 +43,9 @@
 	s.listener = &connListener{Listener: l, table: &s.conns}
 	s.conns.Limits = s.daemon.Limits
 	s.conns.Refused = s.daemon.noteRefused
+	s.conns.MaxConns = s.daemon.Settings.maxCallers()
 	if n := s.daemon.Settings.MemoryLimit; n > 0 {
-		s.conns.Memory = &quota.Quota{Max: n / shareOfLimit}
+		s.conns.Memory = &quota.Quota{Max: n / requestShareOfMemory}
 	}
 	s.http = &http.Server{
 		Handler:        s,
@@ -75,6 +76,9 @@
 // together with the request before, finds no memory left.
 func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := connOf(r)
+	if r.ContentLength != 0 {
+		defer c.leaveBody()
+	}
 	if !c.reserve(c.head.memory()) {
 		s.conns.noteRefused(refusedMemory, c)
 		w.Header().Set("Connection", "close")
@@ -84,9 +88,6 @@
 	}
 	c.served = true
 	s.daemon.Handler.ServeHTTP(w, r)
-	if r.ContentLength != 0 {
-		c.leaveBody()
-	}
 }
 
 // A connExpirer closes connections whose callers take too long.
--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -39,10 +39,11 @@
 	// mu is held while a deadline is set for an idle connection, and while one that
 	// has received bytes leaves that state. So a request that has been read, in whole
 	// or in part, is never cut off as idle.
-	mu      sync.Mutex
-	state   connState
-	since   time.Time // start of state
-	expired bool      // the read deadline has been set to end reading
+	mu       sync.Mutex
+	state    connState
+	since    time.Time // start of state
+	expired  bool      // the read deadline has been set to end reading
+	answered bool      // a request has been answered
 }
 
 // Read reads from the connection. The first bytes after an answer begin a request. If its
@@ -90,6 +91,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = state, time.Now()
+	c.answered = c.answered || state == connIdle
 	c.keep()
 }
 
@@ -120,6 +122,9 @@
 	Limits  func() route.Limits // returns the limits in force
 	Memory  *quota.Quota        // bytes of callers' requests; nil for no limit
 	Refused func(r refusal, peer string)
+	// MaxConns is the number of connections above which a new one takes the place of one on
+	// which nothing is being served; 0 for no limit.
+	MaxConns int
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -181,18 +186,20 @@
 	table *connTable
 }
 
-// Accept waits for the next connection and adds it to the table.
+// Accept waits for the next connection and adds it to the table. It closes those for which
+// there is no room.
 func (l *connListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, table: l.table, since: time.Now()}
+		if l.table.add(c) {
+			return c, nil
+		}
+		l.table.noteRefused(refusedConn, c)
+		// The connection is discarded in any case, so an error does not matter.
+		_ = nc.Close()
 	}
-	c := &conn{Conn: nc, table: l.table, since: time.Now()}
-	l.table.mu.Lock()
-	defer l.table.mu.Unlock()
-	if l.table.conns == nil {
-		l.table.conns = make(map[*conn]struct{})
-	}
-	l.table.conns[c] = struct{}{}
-	return c, nil
 }
--- /dev/null
+++ b/internal/server/crowded_test.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestDisplace checks which connection has to give way to a new one.
+func TestDisplace(t *testing.T) {
+	now := time.Now()
+	before := func(d time.Duration) time.Time { return now.Add(-d) }
+	tests := []struct {
+		name  string
+		conns []*conn
+		want  int // index of the one that gives way; -1 for none
+	}{
+		{name: "the oldest without a request", conns: []*conn{
+			{since: before(time.Second)}, {since: before(2 * time.Second)}, {since: before(9 * time.Second), answered: true}}, want: 1},
+		{name: "a slow body before an idle one", conns: []*conn{
+			{since: before(9 * time.Second), answered: true}, {state: connBody, since: before(2 * time.Second)}}, want: 1},
+		{name: "a slow head after an answer before an idle one", conns: []*conn{
+			{since: before(9 * time.Second), answered: true}, {state: connHeader, since: before(2 * time.Second), answered: true}}, want: 1},
+		{name: "the longest idle one", conns: []*conn{
+			{since: before(time.Second), answered: true}, {since: before(2 * time.Second), answered: true}}, want: 1},
+		{name: "none that is served or being read", conns: []*conn{
+			{state: connBusy, since: before(time.Minute)}, {state: connBody, since: before(readPatience / 2)}, {state: connHeader, since: now}}, want: -1},
+		{name: "none twice", conns: []*conn{
+			{since: before(time.Second), expired: true}}, want: -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			table := &connTable{MaxConns: len(tt.conns) + 1, conns: make(map[*conn]struct{})}
+			for _, c := range tt.conns {
+				c.Conn, _ = net.Pipe()
+				table.conns[c] = struct{}{}
+			}
+			is.True(table.add(&conn{state: connBusy, since: now})) // there is room for one
+			is.Equal(table.add(&conn{since: now}), tt.want >= 0)
+			for i, c := range tt.conns {
+				if i == tt.want {
+					is.True(c.expired)
+				}
+			}
+			is.Equal(table.size(), table.MaxConns+min(tt.want, 0)+1)
+		})
+	}
+}
+
+// TestMaxCallers checks the number of connections that follows from the process's limits.
+func TestMaxCallers(t *testing.T) {
+	tests := []struct {
+		name   string
+		memory int64 // bytes
+		files  int
+		want   int
+	}{
+		{name: "no limits"},
+		{name: "by descriptors", memory: 1 << 30, files: 4100, want: 2050},
+		{name: "by memory", memory: 184 << 20, files: 4100, want: 981},
+		{name: "descriptors only", files: 500, want: 250},
+		{name: "memory only", memory: 184 << 20, want: 981},
+		{name: "hardly any memory", memory: 1, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := Settings{MemoryLimit: tt.memory, MaxFiles: tt.files}
+			is.New(t).Equal(s.maxCallers(), tt.want)
+		})
+	}
+}
--- a/internal/server/intake.go
+++ b/internal/server/intake.go
@@ -14,15 +14,39 @@
 
 // Memory that a request is estimated to take from its first byte to its answer.
 const (
-	lineMemory   = 256 // bytes for a header line, however short: its entry in the table of lines, with room for that to grow
-	textCopies   = 3   // copies of a head's text: as received, as parsed, as forwarded
-	shareOfLimit = 4   // inverse of the share of the process's memory that callers' requests may take
+	lineMemory = 256 // bytes for a header line, however short: its entry in the table of lines, with room for that to grow
+	textCopies = 3   // copies of a head's text: as received, as parsed, as forwarded
 )
 
 // shortRequest is the memory in bytes up to which a request needs no reservation, so that
 // ordinary requests are read while others have used up connTable.Memory.
 const shortRequest = 16 << 10
 
+// Inverse of the shares of a process's limits. One connection to each upstream, those to other
+// daemons and the store, and the log have what is left of its descriptors.
+const (
+	requestShareOfMemory = 4 // for reserved memory of callers' requests
+	callerShareOfMemory  = 4 // for callers' connections, each with a short request
+	callerShareOfFiles   = 2 // for callers' connections
+	upstreamShareOfFiles = 4 // for connections to upstreams, beyond one to each
+)
+
+// connMemory is the memory in bytes that a caller's connection takes besides its request: two
+// goroutines' stacks and the buffers of an http.Server.
+const connMemory = 32 << 10
+
+// maxCallers returns how many connections callers may have; 0 for no limit.
+func (s *Settings) maxCallers() int {
+	n := s.MaxFiles / callerShareOfFiles
+	if s.MemoryLimit > 0 {
+		byMemory := int(s.MemoryLimit / callerShareOfMemory / (connMemory + shortRequest))
+		if n == 0 || byMemory < n {
+			n = max(byMemory, 1)
+		}
+	}
+	return n
+}
+
 // bufferSize is the size in bytes of the buffer through which an http.Server reads a
 // connection.
 const bufferSize = 4 << 10
@@ -79,6 +103,7 @@
 var (
 	refusedHead   = refusal{Reason: "header too long", Status: http.StatusRequestHeaderFieldsTooLarge}
 	refusedMemory = refusal{Reason: "requests take too much memory", Status: http.StatusServiceUnavailable, RetryAfter: retryAfterMemory}
+	refusedConn   = refusal{Reason: "too many connections"}
 )
 
 // admitHead decides on what has been read of a head, before it is parsed. It returns nil if
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -22,6 +22,7 @@
 	PeerAddr    string        // listen address for other daemons
 	MetricsAddr string        // listen address of the metrics endpoint; empty for none
 	MemoryLimit int64         // bytes that the process may use; 0 for no limit
+	MaxFiles    int           // descriptors that the process may open; 0 for no limit
 	Lease       time.Duration // time after which a member record that is not renewed expires; 0 for the default
 
 	// Reload changes the following ones while the daemon runs.
