server: small receive buffers for callers' connections

Callers saw: clients that go on sending behind a request, while it is served, filled the kernel's buffers; the platform counts bytes that were received and not yet read as memory of the process. Cause: each connection had the kernel's usual buffer, which held 95 KB of a client. With 2,050 connections the unread bytes alone would have been some 190 MB (reckoned, not run). Why it works: connections inherit the buffer of the listener, and one of a fixed size no longer grows. Other daemons' connections keep theirs. Ruled out: a short queue of connections that aren't accepted yet.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -40,6 +40,10 @@
 	if err != nil {
 		return fault.Wrap(err, "listen", s.daemon.Settings.CallerAddr)
 	}
+	if err := limitUnread(l); err != nil {
+		// Served all the same: the kernel's usual buffers only take more memory.
+		s.daemon.Log.Emit(event.SettingNotInForce, event.Fields{Step: "listen", Peer: s.daemon.Settings.CallerAddr, Class: "receive buffer", Err: err})
+	}
 	s.listener = &connListener{Listener: l, table: &s.conns}
 	s.conns.Limits = s.daemon.Limits
 	s.conns.Refused = s.daemon.noteRefused
