event: texts in the log have a size

Callers saw nothing; a daemon's memory would: a caller chooses the ID of its request and the host that it asks for, up to the limit on headers, and 2,048 lines wait for a slow reader of the log, besides the 256 latest that are kept. Cause: lines held whatever they were given. With 16 KB each that is 36 MB (reckoned). Evidence: TestLongTexts, lines of 100 KB and 600 KB before, below 1 KB and 10 KB now. Why it works: texts are cut at 256 bytes, details and errors at 4 KB, with their size said.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,6 +3,7 @@
 package event
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -146,6 +147,41 @@
 	Err     error
 }
 
+// Sizes in bytes above which texts are cut: callers choose some of them, like the IDs of their
+// requests and the hosts that they ask for.
+const (
+	maxField  = 256
+	maxDetail = 4 << 10 // also of an error
+)
+
+// cut returns the fields with all texts within their sizes. An error becomes a text.
+func (f Fields) cut() cutFields {
+	c := cutFields{
+		step:    cut(f.Step, maxField),
+		peer:    cut(f.Peer, maxField),
+		request: cut(f.Request, maxField),
+		class:   cut(f.Class, maxField),
+		detail:  cut(f.Detail, maxDetail),
+	}
+	if f.Err != nil {
+		c.err = cut(f.Err.Error(), maxDetail)
+	}
+	return c
+}
+
+// cutFields are Fields of bounded size.
+type cutFields struct {
+	step, peer, request, class, detail, err string
+}
+
+// cut returns the first n bytes of a longer text, and its size.
+func cut(s string, n int) string {
+	if len(s) <= n {
+		return s
+	}
+	return fmt.Sprintf("%s... (%d bytes)", s[:n], len(s))
+}
+
 // recentEvents is the number of events that a Log keeps in memory.
 const recentEvents = 256
 
@@ -198,19 +234,17 @@
 	if !ok {
 		return
 	}
+	c := f.cut()
 	e := l.logger.WithField("event", int(id))
 	for _, p := range []struct{ key, value string }{
-		{"step", f.Step}, {"peer", f.Peer}, {"request", f.Request}, {"class", f.Class}, {"detail", f.Detail},
+		{"step", c.step}, {"peer", c.peer}, {"request", c.request}, {"class", c.class}, {"detail", c.detail}, {logrus.ErrorKey, c.err},
 	} {
 		if p.value != "" {
 			e = e.WithField(p.key, p.value)
 		}
 	}
-	if f.Err != nil {
-		e = e.WithError(f.Err)
-	}
 	e.Log(k.Level, k.Name)
-	l.addRecent(k, f)
+	l.addRecent(k, c)
 }
 
 // Recent returns the most recent events, oldest first. Suppressed ones are not
@@ -222,18 +256,18 @@
 	return l.recent.Items()
 }
 
-func (l *Log) addRecent(k Kind, f Fields) {
-	detail := f.Detail
-	if f.Err != nil {
-		detail += ": " + f.Err.Error()
+func (l *Log) addRecent(k Kind, c cutFields) {
+	detail := c.detail
+	if c.err != "" {
+		detail += ": " + c.err
 	}
 	l.recent.Put(Record{
 		ID:      k.ID,
 		Name:    k.Name,
 		Time:    time.Now().UTC().Format(time.RFC3339Nano),
-		Step:    f.Step,
-		Peer:    f.Peer,
-		Request: f.Request,
+		Step:    c.step,
+		Peer:    c.peer,
+		Request: c.request,
 		Detail:  detail,
 	})
 }
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -46,3 +47,33 @@
 	var nilLog *Log
 	nilLog.Emit(MemberDown, Fields{}) // a nil Log discards events
 }
+
+// TestLongTexts guards against callers that fill the memory with the texts that they choose:
+// lines wait for a slow reader, and recent events are kept.
+func TestLongTexts(t *testing.T) {
+	const size = 100 << 10
+	long := strings.Repeat("x", size)
+	tests := []struct {
+		name   string
+		fields Fields
+		max    int // bytes of a line
+	}{
+		{name: "request", fields: Fields{Request: long}, max: 1 << 10},
+		{name: "all", fields: Fields{Step: long, Peer: long, Request: long, Class: long, Detail: long, Err: errors.New(long)}, max: 10 << 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var out strings.Builder
+			logger := logrus.New()
+			logger.SetOutput(&out)
+			log := New(logger)
+			log.Emit(RequestFailed, tt.fields)
+			is.True(out.Len() <= tt.max)
+			is.True(strings.Contains(out.String(), strings.Repeat("x", 200))) // its beginning is there
+			is.True(strings.Contains(out.String(), fmt.Sprint(size)))
+			r := log.Recent()[0]
+			is.True(len(r.Step)+len(r.Peer)+len(r.Request)+len(r.Detail) <= tt.max)
+		})
+	}
+}
