server: a caller has a minute to read its answer

Callers saw: nothing so far; found by reading. A caller that never reads kept its connection and its answer, of up to 8 MB, for good. Cause: no time limit on writing to callers. Why it works: the table of connections, which checks them four times a second, ends a write that has been under way for a minute. The fixed WriteTimeout of an http.Server counts from the request's header, so it would end answers of requests that take long.

--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -44,6 +44,7 @@
 	since    time.Time // start of state
 	expired  bool      // the read deadline has been set to end reading
 	answered bool      // a request has been answered
+	writing  time.Time // start of the write that is under way; zero if none is
 }
 
 // Read reads from the connection. The first bytes after an answer begin a request. If its
@@ -66,6 +67,32 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *conn) Write(b []byte) (int, error) {
+	c.setWriting(time.Now())
+	n, err := c.Conn.Write(b)
+	c.setWriting(time.Time{})
+	return n, err
+}
+
+func (c *conn) setWriting(since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = since
+}
+
+// expireWrite ends the writing to the connection if a write has not come to its end within
+// timeout.
+func (c *conn) expireWrite(timeout time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing.IsZero() || now.Sub(c.writing) < timeout {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = c.SetWriteDeadline(now)
+}
+
 // beginHeader notes that bytes have come. It reports whether they are of a request's head.
 func (c *conn) beginHeader() bool {
 	c.mu.Lock()
@@ -134,12 +161,27 @@
 // closed at most this much after its timeout, and never before it.
 const connCheckInterval = 250 * time.Millisecond
 
+// writeTimeout is how long a caller may take to read an answer. An answer is held in memory
+// until then.
+const writeTimeout = time.Minute
+
 // loop checks for connections to close until ctx ends.
 func (t *connTable) loop(ctx context.Context) {
 	for delay.Sleep(ctx, connCheckInterval) {
 		l := t.Limits()
 		t.expire(connIdle, l.IdleTimeout)
 		t.expire(connHeader, l.HeaderTimeout)
+		t.expireWrites()
+	}
+}
+
+// expireWrites ends the writing to connections whose callers don't read.
+func (t *connTable) expireWrites() {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.expireWrite(writeTimeout, now)
 	}
 }
 
