client: a response with an invalid status is no answer

Callers saw, on other systems: an answer with status 000, which a searcher in trouble had sent. Here they got no answer: the connection was closed under them, and the log had the stack of a panic. Cause: any three digits passed for a status. 000 with a stamp counted as a failure of the request, to be passed on as it is, and net/http panics on writing such a status; its server recovers and closes the connection. Said not to have run, it was believed. Evidence: platform.TestInvalidStatus (000, 099, 600; with a stamp, without, said not to have run) failed: a booking got EOF, and without a budget for retries a GET request did as well. client.TestInvalidStatus failed with all seven invalid statuses. Both pass now. Why it works: a status outside 100 to 599 is treated as bytes that are no response. The outcome is unknown and the connection is closed, so what may be repeated goes to another upstream, and a booking gets 502, which promises nothing.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -269,6 +270,22 @@
 // attemptFieldsSize is the usual size in bytes of the fields of one attempt.
 const attemptFieldsSize = 128
 
+// A StatusError says that a response has no valid status, so that it is none.
+type StatusError struct {
+	Status int
+}
+
+// Error returns the status as text.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("response with the invalid status %03d", e.Status)
+}
+
+// Range of valid statuses.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // read returns the next final response and its complete body. It skips
 // informational (1xx) responses. memory limits long bodies.
 func (c *conn) read(method string, memory *quota.Quota) (*http.Response, []byte, error) {
@@ -278,7 +295,10 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, nil, &StatusError{Status: resp.StatusCode}
+		}
+		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		c.limit.allow(maxBody + maxFraming)
