server: a refusal while a head is read is final

Cause: an http.Server drops an error within a line of the head and reads on. By then there was memory again, so the rest of the head was taken and the request was served, after its caller had got the refusal. Evidence: TestRefusalIsFinal fails before (7 bytes read after the refusal). Why it works: nothing more is read from a connection once its caller was refused.

--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -35,6 +35,7 @@
 	head      headCount
 	served    bool // the current request was passed on to the handler
 	bodyEnded bool // the body of the current request is complete, or its time is over
+	refused   bool // the caller got an answer before its head was complete; nothing more is read
 
 	// mu is held while a deadline is set for an idle connection, and while one that
 	// has received bytes leaves that state. So a request that has been read, in whole
@@ -51,6 +52,10 @@
 // head is too long, or there is no memory left for it, the error is os.ErrDeadlineExceeded,
 // for which an http.Server closes the connection; the caller has got an answer then.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.refused {
+		// An http.Server reads on after an error within a line.
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
@@ -61,6 +66,7 @@
 		return n, err
 	}
 	if r := c.admitHead(); r != nil {
+		c.refused = true
 		c.refuse(r)
 		return 0, os.ErrDeadlineExceeded
 	}
--- a/internal/server/intake_test.go
+++ b/internal/server/intake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,48 @@
 	}
 }
 
+// A pieceWriter writes texts one after the other.
+type pieceWriter struct {
+	conn  net.Conn
+	texts []string
+}
+
+func (w *pieceWriter) run() {
+	for _, text := range w.texts {
+		// An error means that the connection is closed.
+		_, _ = io.WriteString(w.conn, text)
+	}
+}
+
+// TestRefusalIsFinal guards against a request that is served although its caller was told that
+// it has not run: an http.Server drops an error within a line and reads on.
+func TestRefusalIsFinal(t *testing.T) {
+	is := is.New(t)
+	table := newIntakeTable(1 << 20)
+	is.True(table.Memory.Take(1 << 20))
+	in, out := net.Pipe()
+	c := &conn{Conn: in, table: table, since: time.Now()}
+	go (&pieceWriter{conn: out, texts: []string{strings.Repeat("x:\n", 1000) + "y", ": z\r\n\r\n"}}).run()
+	go (&answerReader{conn: out}).run()
+	b := make([]byte, bufferSize)
+	_, err := c.Read(b)
+	is.Equal(err, os.ErrDeadlineExceeded)
+	table.Memory.Return(1 << 20) // from now on there is memory
+	n, err := c.Read(b)
+	is.Equal(n, 0)
+	is.Equal(err, os.ErrDeadlineExceeded)
+	is.NoErr(in.Close())
+}
+
+// An answerReader reads what the server writes.
+type answerReader struct {
+	conn net.Conn
+}
+
+func (r *answerReader) run() {
+	_, _ = io.Copy(io.Discard, r.conn) // until the connection is closed
+}
+
 // TestHeadCount checks what a head counts that was read together with what came before it.
 func TestHeadCount(t *testing.T) {
 	type read struct {
