server: rejected requests don't keep others from connecting

Callers saw: while 1,000 clients kept connections open on which a body that no route takes stopped short of its end, an ordinary caller's connection was closed for half a second. Cause: net/http keeps such a connection for 500 ms after its answer. It counted as one that serves a request, so none had to give way to a new one. Why it works: a connection whose request was rejected gives way before all others, and is closed at once then.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -129,6 +129,9 @@
 	if c.bodyEnded {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since = connRest, time.Now()
 	// An error means that the connection is closed.
 	_ = c.SetReadDeadline(time.Now().Add(discardTimeout))
 }
--- a/internal/server/conns.go
+++ b/internal/server/conns.go
@@ -22,6 +22,7 @@
 	connHeader                  // a request's header is being read
 	connBody                    // a request's body is being read
 	connBusy                    // a request is being served
+	connRest                    // the rest of a rejected request's body is being read
 )
 
 // A conn is a caller's connection. An http.Server reads and writes it, and reports its
--- a/internal/server/crowded.go
+++ b/internal/server/crowded.go
@@ -37,6 +37,9 @@
 	if victim == nil || !victim.giveWay(now) {
 		return false
 	}
+	if victim.closed() {
+		delete(t.conns, victim)
+	}
 	t.noteRefused(refusedConn, victim)
 	return true
 }
@@ -57,7 +60,7 @@
 }
 
 // worth returns what the connection is worth, and whether it may give way to another one: it
-// is idle, or takes too long for a request.
+// is idle, takes too long for a request, or has been rejected.
 func (c *conn) worth(now time.Time) (worth, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -66,10 +69,11 @@
 
 // mayGiveWay reports whether the connection may be ended for another one. The mutex is held.
 func (c *conn) mayGiveWay(now time.Time) bool {
-	return !c.expired && (c.state == connIdle || c.tooSlow(now))
+	return !c.expired && (c.state == connIdle || c.state == connRest || c.tooSlow(now))
 }
 
-// giveWay ends the connection if nothing is being served on it still.
+// giveWay ends the connection if nothing is being served on it still. One whose request was
+// rejected is closed at once, as an http.Server keeps it for a while after that.
 func (c *conn) giveWay(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,5 +81,16 @@
 		return false
 	}
 	c.cut(now)
+	if c.state == connRest {
+		// The connection is discarded in any case, so an error does not matter.
+		_ = c.Close()
+	}
 	return true
 }
+
+// closed reports whether giveWay has closed the connection.
+func (c *conn) closed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired && c.state == connRest
+}
--- a/internal/server/crowded_test.go
+++ b/internal/server/crowded_test.go
@@ -23,6 +23,8 @@
 			{since: before(9 * time.Second), answered: true}, {state: connBody, since: before(2 * time.Second)}}, want: 1},
 		{name: "a slow head after an answer before an idle one", conns: []*conn{
 			{since: before(9 * time.Second), answered: true}, {state: connHeader, since: before(2 * time.Second), answered: true}}, want: 1},
+		{name: "the rest of a rejected body", conns: []*conn{
+			{state: connBusy, since: before(time.Minute)}, {state: connRest, since: now}}, want: 1},
 		{name: "the longest idle one", conns: []*conn{
 			{since: before(time.Second), answered: true}, {since: before(2 * time.Second), answered: true}}, want: 1},
 		{name: "none that is served or being read", conns: []*conn{
@@ -45,7 +47,11 @@
 					is.True(c.expired)
 				}
 			}
-			is.Equal(table.size(), table.MaxConns+min(tt.want, 0)+1)
+			over := 0 // connections whose end has begun
+			if tt.want >= 0 && tt.conns[tt.want].state != connRest {
+				over = 1
+			}
+			is.Equal(table.size(), table.MaxConns+over)
 		})
 	}
 }
