intake: callers' connections have a package of their own

Callers see no difference. The table of callers' connections, which had grown to six files of package server, limits what they take of a process; that is one job and needs nothing of a daemon but the limits in force. A refusal is written like any answer, so a caller that doesn't read it has a minute as well. Evidence: tests of intake and server with the race detector, TestCrowd and TestCrowdLimits pass.

--- a/internal/server/body.go
+++ b/internal/intake/body.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"errors"
@@ -12,19 +12,16 @@
 
 // Errors of ReadBody, besides *body.TooLongError and those of the connection.
 var (
-	// ErrBodyTimeout says that a body was not complete in time.
-	ErrBodyTimeout = errors.New("body not complete in time")
-	// ErrBodyMemory says that there is no memory left for a body, or that its caller took
-	// so long that others got its memory.
-	ErrBodyMemory = errors.New("requests take too much memory")
+	// ErrTimeout says that a body was not complete in time.
+	ErrTimeout = errors.New("body not complete in time")
+	// ErrMemory says that there is no memory left for a body, or that its caller took so
+	// long that others got its memory. RetryAfter is the delay to suggest.
+	ErrMemory = errors.New("requests take too much memory")
 )
 
-// RetryAfterMemory is the delay to suggest to a caller whose request got ErrBodyMemory.
-const RetryAfterMemory = retryAfterMemory
-
-// ReadBody reads the body of a caller's request, which has limit bytes at most and is to be
-// complete at the time by.
-func (d *Daemon) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
+// ReadBody reads the body of a request to the table's server, which has limit bytes at most and
+// is to be complete at the time by.
+func (t *Table) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -42,11 +39,11 @@
 	c.release()
 	switch {
 	case evicted:
-		return nil, ErrBodyMemory
-	case errors.Is(err, ErrBodyMemory):
-		d.noteRefused(refusedMemory, c.RemoteAddr().String())
+		return nil, ErrMemory
+	case errors.Is(err, ErrMemory):
+		t.note(refusedMemory, c)
 	case isTimeout(err):
-		return nil, ErrBodyTimeout
+		return nil, ErrTimeout
 	}
 	return nil, err
 }
@@ -104,7 +101,7 @@
 			}
 			size := min(bufferGrowth*cap(b), most)
 			if !c.reserve(c.head.memory() + int64(cap(b)+size)) {
-				return nil, ErrBodyMemory
+				return nil, ErrMemory
 			}
 			b = append(make([]byte, 0, size), b...)
 		}
--- a/internal/server/conns.go
+++ b/internal/intake/conn.go
@@ -1,17 +1,11 @@
-package server
+package intake
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"bronzedoor.dev/bronzedoor/internal/delay"
-	"bronzedoor.dev/bronzedoor/internal/quota"
-	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
 // A connState says what a caller's connection is used for.
@@ -26,11 +20,11 @@
 )
 
 // A conn is a caller's connection. An http.Server reads and writes it, and reports its
-// state to the connTable that accepted it.
+// state to the Table that accepted it.
 type conn struct {
 	net.Conn
-	table *connTable
-	taken atomic.Int64 // bytes of table.Memory that are reserved for the current request
+	table *Table
+	taken atomic.Int64 // bytes of table.memory that are reserved for the current request
 
 	// These are used by one goroutine at a time: that which reads.
 	head      headCount
@@ -146,109 +140,3 @@
 	// An error means that the connection is closed.
 	_ = c.SetReadDeadline(now)
 }
-
-// A connTable holds the callers' connections of a daemon, and closes those that are idle
-// or within a request's header for longer than the configuration in force allows. The
-// timeouts of an http.Server can't serve for this, as they can't be changed while the
-// server runs. Nor can Shutdown end idle connections: it may close one whose request has
-// just been read.
-type connTable struct {
-	Limits  func() route.Limits // returns the limits in force
-	Memory  *quota.Quota        // bytes of callers' requests; nil for no limit
-	Refused func(r refusal, peer string)
-	// MaxConns is the number of connections above which a new one takes the place of one on
-	// which nothing is being served; 0 for no limit.
-	MaxConns int
-
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-}
-
-// connCheckInterval is the time between two checks for connections to close. One is
-// closed at most this much after its timeout, and never before it.
-const connCheckInterval = 250 * time.Millisecond
-
-// writeTimeout is how long a caller may take to read an answer. An answer is held in memory
-// until then.
-const writeTimeout = time.Minute
-
-// loop checks for connections to close until ctx ends.
-func (t *connTable) loop(ctx context.Context) {
-	for delay.Sleep(ctx, connCheckInterval) {
-		l := t.Limits()
-		t.expire(connIdle, l.IdleTimeout)
-		t.expire(connHeader, l.HeaderTimeout)
-		t.expireWrites()
-	}
-}
-
-// expireWrites ends the writing to connections whose callers don't read.
-func (t *connTable) expireWrites() {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c := range t.conns {
-		c.expireWrite(writeTimeout, now)
-	}
-}
-
-// expire ends the connections that are in a state for longer than timeout.
-func (t *connTable) expire(state connState, timeout time.Duration) {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for c := range t.conns {
-		c.expire(state, timeout, now)
-	}
-}
-
-// size returns the number of open connections.
-func (t *connTable) size() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.conns)
-}
-
-// track records a connection's new state. It is an http.Server's ConnState hook.
-func (t *connTable) track(nc net.Conn, state http.ConnState) {
-	c := nc.(*conn)
-	switch state {
-	case http.StateActive:
-		c.setState(connBusy)
-	case http.StateIdle:
-		c.release()
-		c.head.reset()
-		c.served, c.bodyEnded = false, false
-		c.setState(connIdle)
-	case http.StateHijacked, http.StateClosed:
-		c.release()
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		delete(t.conns, c)
-	case http.StateNew:
-	}
-}
-
-// A connListener is a listener whose connections are in a connTable.
-type connListener struct {
-	net.Listener
-	table *connTable
-}
-
-// Accept waits for the next connection and adds it to the table. It closes those for which
-// there is no room.
-func (l *connListener) Accept() (net.Conn, error) {
-	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{Conn: nc, table: l.table, since: time.Now()}
-		if l.table.add(c) {
-			return c, nil
-		}
-		l.table.noteRefused(refusedConn, c)
-		// The connection is discarded in any case, so an error does not matter.
-		_ = nc.Close()
-	}
-}
--- a/internal/server/crowded.go
+++ b/internal/intake/displace.go
@@ -1,18 +1,18 @@
-package server
+package intake
 
 import "time"
 
-// crowdedMargin is the inverse of the share of connTable.MaxConns by which connections may
+// crowdedMargin is the inverse of the share of Table.maxConns by which connections may
 // exceed it for a moment, until those whose place was taken are closed.
 const crowdedMargin = 8
 
-// add adds a new connection. If there are MaxConns already, it takes the place of one on which
+// add adds a new connection. If there are maxConns already, it takes the place of one on which
 // nothing is being served; if there is none, add reports false.
-func (t *connTable) add(c *conn) bool {
+func (t *Table) add(c *conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.MaxConns > 0 && len(t.conns) >= t.MaxConns {
-		if len(t.conns) > t.MaxConns+t.MaxConns/crowdedMargin || !t.displace(c.since) {
+	if t.maxConns > 0 && len(t.conns) >= t.maxConns {
+		if len(t.conns) > t.maxConns+t.maxConns/crowdedMargin || !t.displace(c.since) {
 			return false
 		}
 	}
@@ -25,7 +25,7 @@
 
 // displace ends the connection that is worth least, and reports whether there was one. The
 // mutex is held.
-func (t *connTable) displace(now time.Time) bool {
+func (t *Table) displace(now time.Time) bool {
 	var victim *conn
 	var least worth
 	for c := range t.conns {
@@ -40,7 +40,7 @@
 	if victim.closed() {
 		delete(t.conns, victim)
 	}
-	t.noteRefused(refusedConn, victim)
+	t.note(refusedConn, victim)
 	return true
 }
 
--- a/internal/server/crowded_test.go
+++ b/internal/intake/displace_test.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"net"
@@ -35,7 +35,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			table := &connTable{MaxConns: len(tt.conns) + 1, conns: make(map[*conn]struct{})}
+			table := &Table{maxConns: len(tt.conns) + 1, conns: make(map[*conn]struct{})}
 			for _, c := range tt.conns {
 				c.Conn, _ = net.Pipe()
 				table.conns[c] = struct{}{}
@@ -51,13 +51,13 @@
 			if tt.want >= 0 && tt.conns[tt.want].state != connRest {
 				over = 1
 			}
-			is.Equal(table.size(), table.MaxConns+over)
+			is.Equal(table.Size(), table.maxConns+over)
 		})
 	}
 }
 
-// TestMaxCallers checks the number of connections that follows from the process's limits.
-func TestMaxCallers(t *testing.T) {
+// TestSetLimits checks the number of connections that follows from the process's limits.
+func TestSetLimits(t *testing.T) {
 	tests := []struct {
 		name   string
 		memory int64 // bytes
@@ -73,8 +73,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := Settings{MemoryLimit: tt.memory, MaxFiles: tt.files}
-			is.New(t).Equal(s.maxCallers(), tt.want)
+			is := is.New(t)
+			var table Table
+			table.SetLimits(tt.memory, tt.files)
+			is.Equal(table.maxConns, tt.want)
+			is.Equal(table.memory != nil, tt.memory > 0)
 		})
 	}
 }
--- a/internal/server/intake_test.go
+++ b/internal/intake/head_test.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"bufio"
@@ -12,7 +12,6 @@
 
 	"github.com/matryer/is"
 
-	"bronzedoor.dev/bronzedoor/internal/proxy"
 	"bronzedoor.dev/bronzedoor/internal/quota"
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
@@ -20,10 +19,11 @@
 const testHeaderBytes = 16 << 10
 
 // newIntakeTable returns a table with the given quota in bytes.
-func newIntakeTable(memory int64) *connTable {
-	return &connTable{
+func newIntakeTable(memory int64) *Table {
+	return &Table{
 		Limits: func() route.Limits { return route.Limits{MaxHeaderBytes: testHeaderBytes} },
-		Memory: &quota.Quota{Max: memory},
+		Linger: 10 * time.Millisecond,
+		memory: &quota.Quota{Max: memory},
 	}
 }
 
@@ -64,18 +64,18 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			table := newIntakeTable(1 << 20)
-			is.True(table.Memory.Take(tt.used))
+			is.True(table.memory.Take(tt.used))
 			address := serveTracked(t, table, func(http.ResponseWriter, *http.Request) {})
 			resp := exchangeHead(t, address, tt.lines)
 			is.True(resp != nil)
 			is.Equal(resp.StatusCode, tt.want)
 			is.Equal(resp.Close, tt.want != http.StatusOK)
 			is.Equal(resp.Header.Get("Retry-After") != "", tt.want == http.StatusServiceUnavailable)
-			for table.size() > 0 {
+			for table.Size() > 0 {
 				time.Sleep(time.Millisecond)
 			}
-			time.Sleep(2 * proxy.Linger)
-			is.Equal(table.Memory.Used(), tt.used)
+			time.Sleep(2 * table.Linger)
+			is.Equal(table.memory.Used(), tt.used)
 		})
 	}
 }
@@ -98,7 +98,7 @@
 func TestRefusalIsFinal(t *testing.T) {
 	is := is.New(t)
 	table := newIntakeTable(1 << 20)
-	is.True(table.Memory.Take(1 << 20))
+	is.True(table.memory.Take(1 << 20))
 	in, out := net.Pipe()
 	c := &conn{Conn: in, table: table, since: time.Now()}
 	go (&pieceWriter{conn: out, texts: []string{strings.Repeat("x:\n", 1000) + "y", ": z\r\n\r\n"}}).run()
@@ -106,7 +106,7 @@
 	b := make([]byte, bufferSize)
 	_, err := c.Read(b)
 	is.Equal(err, os.ErrDeadlineExceeded)
-	table.Memory.Return(1 << 20) // from now on there is memory
+	table.memory.Return(1 << 20) // from now on there is memory
 	n, err := c.Read(b)
 	is.Equal(n, 0)
 	is.Equal(err, os.ErrDeadlineExceeded)
@@ -175,7 +175,7 @@
 	}
 	is := is.New(t)
 	table := newIntakeTable(300)
-	is.True(table.Memory.Take(300))
+	is.True(table.memory.Take(300))
 	table.conns = make(map[*conn]struct{})
 	var conns []*conn
 	for _, tt := range tests {
--- a/internal/server/conns_test.go
+++ b/internal/intake/table_test.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"bufio"
@@ -27,7 +27,7 @@
 
 // serveTracked serves HTTP on a loopback address. If t is nil, the connections are not
 // in a table.
-func serveTracked(tb testing.TB, t *connTable, h http.HandlerFunc) (address string) {
+func serveTracked(tb testing.TB, t *Table, h http.HandlerFunc) (address string) {
 	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -36,8 +36,9 @@
 	s := &http.Server{Handler: h}
 	address = l.Addr().String()
 	if t != nil {
-		s.ConnState = t.track
-		l = &connListener{Listener: l, table: t}
+		s = t.Server(h)
+		l, err = t.Listener(l)
+		is.New(tb).NoErr(err)
 	}
 	tb.Cleanup(func() { _ = s.Close() })
 	go (&httpLoop{server: s, listener: l}).run()
@@ -49,7 +50,7 @@
 // is answered, or its connection was closed before the handler saw it.
 func TestExpireIdleUnderLoad(t *testing.T) {
 	is := is.New(t)
-	table := &connTable{Limits: func() route.Limits { return route.Limits{} }}
+	table := &Table{Limits: func() route.Limits { return route.Limits{} }}
 	var begun atomic.Int64 // requests that the handler has seen
 	address := serveTracked(t, table, func(w http.ResponseWriter, r *http.Request) {
 		begun.Add(1)
@@ -87,22 +88,22 @@
 
 // An idleExpirer ends the idle connections of a table once.
 type idleExpirer struct {
-	table *connTable
+	table *Table
 }
 
 func (e *idleExpirer) run() {
 	e.table.expire(connIdle, 0)
 }
 
-// BenchmarkKeptConnection compares a request on a connection that is in a connTable with
+// BenchmarkKeptConnection compares a request on a connection that is in a Table with
 // one that is not.
 func BenchmarkKeptConnection(b *testing.B) {
 	for _, bb := range []struct {
 		name  string
-		table *connTable
+		table *Table
 	}{
 		{name: "plain"},
-		{name: "table", table: &connTable{}},
+		{name: "table", table: &Table{}},
 	} {
 		b.Run(bb.name, func(b *testing.B) {
 			address := serveTracked(b, bb.table, func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(http.StatusNoContent) })
--- a/internal/server/unreadanswer_test.go
+++ b/internal/intake/unreadanswer_test.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"context"
@@ -15,13 +15,13 @@
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
-// A tableLoop runs the loop of a connTable.
+// A tableLoop runs the loop of a Table.
 type tableLoop struct {
-	table *connTable
+	table *Table
 }
 
 func (l *tableLoop) run(ctx context.Context) {
-	l.table.loop(ctx)
+	l.table.Run(ctx)
 }
 
 // A slowCaller reads one byte after a pause.
@@ -51,7 +51,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				in, out := net.Pipe()
-				table := &connTable{Limits: func() route.Limits { return route.Limits{IdleTimeout: time.Hour, HeaderTimeout: time.Hour} }}
+				table := &Table{Limits: func() route.Limits { return route.Limits{IdleTimeout: time.Hour, HeaderTimeout: time.Hour} }}
 				c := &conn{Conn: in, table: table, state: connBusy, since: time.Now()}
 				is.True(table.add(c))
 				ctx, cancel := context.WithCancel(t.Context())
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -9,6 +9,7 @@
 	"bronzedoor.dev/bronzedoor/internal/boot"
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/roster"
 	"bronzedoor.dev/bronzedoor/internal/route"
@@ -25,8 +26,8 @@
 		// In this order: a request that finds the daemon configured finds the table.
 		d.Flow.SetTable(c.value)
 		d.table.Store(c.value)
-		if n := c.value.Limits.MaxHeaderBytes; n > MaxHeaderBytes {
-			d.Log.Emit(event.SettingNotInForce, event.Fields{Step: "routes", Class: "MaxHeaderBytes", Detail: fmt.Sprintf("version %d: %d, at most %d are read", c.value.Version, n, MaxHeaderBytes)})
+		if n := c.value.Limits.MaxHeaderBytes; n > intake.MaxHeaderBytes {
+			d.Log.Emit(event.SettingNotInForce, event.Fields{Step: "routes", Class: "MaxHeaderBytes", Detail: fmt.Sprintf("version %d: %d, at most %d are read", c.value.Version, n, intake.MaxHeaderBytes)})
 		}
 		d.startup.Reach(boot.Routes)
 		d.Log.Emit(event.TableApplied, event.Fields{
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -11,23 +11,19 @@
 	"bronzedoor.dev/bronzedoor/internal/delay"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
-	"bronzedoor.dev/bronzedoor/internal/quota"
+	"bronzedoor.dev/bronzedoor/internal/proxy"
 )
 
 // startConfigWait is how long a starting daemon waits for its configuration and
 // its upstreams before it accepts callers without them.
 const startConfigWait = time.Second
 
-// MaxHeaderBytes is the longest header of a caller's request that is read at all. The
-// configuration may set a lower limit, which the daemon's handler has to apply: that of an
-// http.Server can't be changed while it runs.
-const MaxHeaderBytes = 1 << 20
-
 // A callerServer serves callers' requests.
 type callerServer struct {
 	daemon *Daemon
-	conns  connTable
+	conns  intake.Table
 
 	listener   net.Listener
 	http       *http.Server
@@ -40,60 +36,22 @@
 	if err != nil {
 		return fault.Wrap(err, "listen", s.daemon.Settings.CallerAddr)
 	}
-	if err := limitUnread(l); err != nil {
-		// Served all the same: the kernel's usual buffers only take more memory.
-		s.daemon.Log.Emit(event.SettingNotInForce, event.Fields{Step: "listen", Peer: s.daemon.Settings.CallerAddr, Class: "receive buffer", Err: err})
-	}
-	s.listener = &connListener{Listener: l, table: &s.conns}
 	s.conns.Limits = s.daemon.Limits
 	s.conns.Refused = s.daemon.noteRefused
-	s.conns.MaxConns = s.daemon.Settings.maxCallers()
-	if n := s.daemon.Settings.MemoryLimit; n > 0 {
-		s.conns.Memory = &quota.Quota{Max: n / requestShareOfMemory}
-	}
-	s.http = &http.Server{
-		Handler:        s,
-		MaxHeaderBytes: MaxHeaderBytes,
-		ConnState:      s.conns.track,
-		ConnContext:    withConn,
+	s.conns.Linger = proxy.Linger
+	s.conns.SetLimits(s.daemon.Settings.MemoryLimit, s.daemon.Settings.MaxFiles)
+	s.listener, err = s.conns.Listener(l)
+	if err != nil {
+		// Served all the same: the kernel's usual buffers only take more memory.
+		s.daemon.Log.Emit(event.SettingNotInForce, event.Fields{Step: "listen", Peer: s.daemon.Settings.CallerAddr, Class: "receive buffer", Err: err})
 	}
+	s.http = s.conns.Server(s.daemon.Handler)
 	ctx = s.goroutines.Begin(ctx, 2)
 	go (&callerAccepter{s}).run(ctx)
 	go (&connExpirer{s}).run(ctx)
 	return nil
 }
 
-// connKey is the key of a request's *conn in its context.
-type connKey struct{}
-
-// withConn is an http.Server's ConnContext hook.
-func withConn(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
-}
-
-// connOf returns the connection of a caller's request.
-func connOf(r *http.Request) *conn {
-	return r.Context().Value(connKey{}).(*conn)
-}
-
-// ServeHTTP passes a request on to the handler, unless its head, which may have been read
-// together with the request before, finds no memory left.
-func (s *callerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := connOf(r)
-	if r.ContentLength != 0 {
-		defer c.leaveBody()
-	}
-	if !c.reserve(c.head.memory()) {
-		s.conns.noteRefused(refusedMemory, c)
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", retryAfterSeconds(refusedMemory.RetryAfter))
-		w.WriteHeader(refusedMemory.Status)
-		return
-	}
-	c.served = true
-	s.daemon.Handler.ServeHTTP(w, r)
-}
-
 // A connExpirer closes connections whose callers take too long.
 type connExpirer struct {
 	server *callerServer
@@ -101,7 +59,7 @@
 
 func (e *connExpirer) run(ctx context.Context) {
 	defer e.server.goroutines.Done()
-	e.server.conns.loop(ctx)
+	e.server.conns.Run(ctx)
 }
 
 // A callerAccepter runs the accept loop of a callerServer.
@@ -141,12 +99,12 @@
 		return fault.Wrap(err, "close", s.daemon.Settings.CallerAddr)
 	}
 	for {
-		s.conns.expire(connIdle, 0)
-		if s.conns.size() == 0 {
+		s.conns.ExpireIdle()
+		if s.conns.Size() == 0 {
 			return nil
 		}
 		if !delay.Sleep(ctx, drainPollInterval) {
-			return fmt.Errorf("%d callers' connections left: %w", s.conns.size(), ctx.Err())
+			return fmt.Errorf("%d callers' connections left: %w", s.conns.Size(), ctx.Err())
 		}
 	}
 }
@@ -160,3 +118,9 @@
 	}
 	return err
 }
+
+// ReadBody reads the body of a caller's request, which has limit bytes at most and is to be
+// complete at the time by. Its errors are those of intake.Table.ReadBody.
+func (d *Daemon) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
+	return d.callers.conns.ReadBody(r, limit, by)
+}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -24,6 +24,11 @@
 	"bronzedoor.dev/bronzedoor/internal/route"
 )
 
+// upstreamShareOfFiles is the inverse of the share of the process's descriptors for connections to
+// upstreams, beyond one to each. Callers have one half (package intake); one connection to each
+// upstream, those to other daemons and the store, and the log have the rest.
+const upstreamShareOfFiles = 4
+
 // Names under which the services are registered with the kernel.
 const (
 	serviceFlow    = "flow"
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"net"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bronzedoor.dev/bronzedoor/internal/change"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/mirror"
 	"bronzedoor.dev/bronzedoor/internal/proxy"
 	"bronzedoor.dev/bronzedoor/internal/roster"
@@ -72,9 +74,9 @@
 }
 
 // noteRefused counts and logs that a caller was refused.
-func (d *Daemon) noteRefused(r refusal, peer string) {
+func (d *Daemon) noteRefused(r intake.Refusal, peer net.Addr) {
 	d.refused.WithLabelValues(r.Reason).Inc()
-	d.Log.Emit(event.CallerRefused, event.Fields{Step: "read", Peer: peer, Detail: r.Reason})
+	d.Log.Emit(event.CallerRefused, event.Fields{Step: "read", Peer: peer.String(), Detail: r.Reason})
 }
 
 // GracePeriod returns the grace period in force.
