intake: a crowd that is refused doesn't take the processor's time

Callers saw nothing; found by reading. Each refusal for want of memory looked through all connections for those that hold memory for long, some 0.2 ms with 2,000 of them (reckoned), and each line of the log, also a suppressed one, built the table of all events. Why it works: connections are looked through 20 times a second at most, and an eighth of the memory is freed then at least. Events are indexed once.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -209,12 +209,21 @@
 	return &Log{logger: logger, recent: ring.New[Record](recentEvents)}
 }
 
+// kindByID holds the kinds of all events.
+var kindByID = indexKinds()
+
+func indexKinds() map[ID]Kind {
+	kinds := make(map[ID]Kind)
+	for _, k := range Kinds() {
+		kinds[k.ID] = k
+	}
+	return kinds
+}
+
 // kindOf returns the kind with the given ID, or a kind named "unknown".
 func kindOf(id ID) Kind {
-	for _, k := range Kinds() {
-		if k.ID == id {
-			return k
-		}
+	if k, ok := kindByID[id]; ok {
+		return k
 	}
 	return Kind{ID: id, Name: "unknown", Level: logrus.ErrorLevel}
 }
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -193,4 +193,9 @@
 			is.Equal(conns[i].expired, tt.want)
 		})
 	}
+	is.True(!needy.reserve(shortRequest + 300)) // too soon to look again
+	is.True(!conns[3].expired)
+	time.Sleep(2 * makeRoomInterval)
+	is.True(!needy.reserve(shortRequest + 300))
+	is.True(conns[3].expired)
 }
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -42,10 +42,18 @@
 // before others may have it.
 const readPatience = time.Second
 
+// All connections are looked through to make room, so that is done at intervals and for more
+// than one request: a crowd that is refused mustn't take the processor's time.
+const (
+	makeRoomInterval = 50 * time.Millisecond
+	makeRoomShare    = 8 // inverse of the share of Table.memory that is freed at least
+)
+
 // makeRoom ends the reading of requests for which callers take too long, the oldest first,
-// until they have held n bytes of memory.
+// until they have held n bytes of memory, or more.
 func (t *Table) makeRoom(n int64) {
 	now := time.Now()
+	n = max(n, t.memory.Max/makeRoomShare)
 	for _, s := range t.slowReaders(now) {
 		if n <= 0 {
 			return
@@ -64,10 +72,15 @@
 	taken int64
 }
 
-// slowReaders returns those that have had more than readPatience, the oldest first.
+// slowReaders returns those that have had more than readPatience, the oldest first. It returns
+// none within makeRoomInterval of the last time.
 func (t *Table) slowReaders(now time.Time) []slowReader {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Before(t.nextMakeRoom) {
+		return nil
+	}
+	t.nextMakeRoom = now.Add(makeRoomInterval)
 	var slow []slowReader
 	for c := range t.conns {
 		taken := c.taken.Load()
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -30,8 +30,9 @@
 	// which nothing is being served; 0 for no limit.
 	maxConns int
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu           sync.Mutex
+	conns        map[*conn]struct{}
+	nextMakeRoom time.Time // before which no connection is looked for that holds memory for long
 }
 
 // connCheckInterval is the time between two checks for connections to close. One is
