server: limits on what is not for callers, and a default for descriptors

Callers saw nothing; found by reading. A request to the addresses for readiness, metrics or other daemons could have a body of any length that never ends, and a daemon whose settings name no MaxFds had no limit on connections. Why it works: such a request has 64 KB for its body and 10 s altogether; those of daemons take some hundred bytes, and the time doesn't count while a request is served. Without MaxFds the kernel's limit on descriptors counts.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -39,7 +39,7 @@
 	s.conns.Limits = s.daemon.Limits
 	s.conns.Refused = s.daemon.noteRefused
 	s.conns.Linger = proxy.Linger
-	s.conns.SetLimits(s.daemon.Settings.MemoryLimit, s.daemon.Settings.MaxFiles)
+	s.conns.SetLimits(s.daemon.Settings.MemoryLimit, s.daemon.Settings.maxFiles())
 	s.listener, err = s.conns.Listener(l)
 	if err != nil {
 		// Served all the same: the kernel's usual buffers only take more memory.
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -134,7 +134,7 @@
 		CountedSince: d.membership.countedSince,
 		Daemons:      d.fleet.CountByRegion,
 		MemoryLimit:  d.Settings.MemoryLimit,
-		MaxConns:     d.Settings.MaxFiles / upstreamShareOfFiles,
+		MaxConns:     d.Settings.maxFiles() / upstreamShareOfFiles,
 		Log:          d.Log,
 		Metrics:      proxy.NewMetrics(registry),
 		Startup:      d.startup,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,13 @@
 	defaultIdleTimeout   = 2 * time.Minute
 )
 
+// Limits on the bodies of other daemons' and operators' requests. Those of daemons take some
+// hundred bytes.
+const (
+	peerBodyBytes   = 64 << 10
+	peerBodyTimeout = 10 * time.Second // from the beginning of the request
+)
+
 // A server serves HTTP at one listen address, to other daemons or to operators.
 type server struct {
 	daemon  *Daemon
@@ -37,8 +44,9 @@
 		return fault.Wrap(err, "listen", s.address)
 	}
 	s.http = &http.Server{
-		Handler:           s.handler,
+		Handler:           http.MaxBytesHandler(s.handler, peerBodyBytes),
 		ReadHeaderTimeout: defaultHeaderTimeout,
+		ReadTimeout:       peerBodyTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
 	}
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"math"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -24,7 +26,7 @@
 	PeerAddr    string        // listen address for other daemons
 	MetricsAddr string        // listen address of the metrics endpoint; empty for none
 	MemoryLimit int64         // bytes that the process may use; 0 for no limit
-	MaxFiles    int           // descriptors that the process may open; 0 for no limit
+	MaxFiles    int           // descriptors that the process may open; 0 for the limit that the kernel sets
 	Lease       time.Duration // time after which a member record that is not renewed expires; 0 for the default
 
 	// Reload changes the following ones while the daemon runs.
@@ -64,6 +66,18 @@
 	r.MustRegister(d.reloads, d.notInForce)
 }
 
+// maxFiles returns how many descriptors the process may open; 0 for no limit.
+func (s *Settings) maxFiles() int {
+	if s.MaxFiles > 0 {
+		return s.MaxFiles
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 // registerCallerMetrics creates the metrics of callers' connections.
 func (d *Daemon) registerCallerMetrics(r prometheus.Registerer) {
 	d.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
