intake: the field's words for connections that make room

Callers see no difference: connections are evicted, by their rank, where names spoke of worth and of giving way; a body has a deadline. An empty part of a request is not written. Evidence: tests of intake, client and server pass.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -177,6 +177,9 @@
 
 func (w *writer) write() error {
 	for _, part := range w.parts {
+		if len(part) == 0 {
+			continue
+		}
 		if _, err := w.conn.Write(part); err != nil {
 			return err
 		}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -20,8 +20,8 @@
 )
 
 // ReadBody reads the body of a request to the table's server, which has limit bytes at most and
-// is to be complete at the time by.
-func (t *Table) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
+// is to be complete by the deadline.
+func (t *Table) ReadBody(r *http.Request, limit int, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -29,7 +29,7 @@
 		return nil, &body.TooLongError{Max: int64(limit)}
 	}
 	c := connOf(r)
-	c.beginBody(by)
+	c.beginBody(deadline)
 	b, err := c.readBody(r, limit)
 	evicted := c.endBody(err)
 	if err == nil {
@@ -54,13 +54,13 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-// beginBody notes that a body is being read, which ends at the time by.
-func (c *conn) beginBody(by time.Time) {
+// beginBody notes that a body is being read, which ends at the deadline.
+func (c *conn) beginBody(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = connBody, time.Now()
 	// An error means that the connection is closed.
-	_ = c.SetReadDeadline(by)
+	_ = c.SetReadDeadline(deadline)
 }
 
 // endBody notes that a body has been read, as a whole or up to an error. It reports whether
--- a/internal/intake/displace_test.go
+++ b/internal/intake/evict_test.go
@@ -8,14 +8,14 @@
 	"github.com/matryer/is"
 )
 
-// TestDisplace checks which connection has to give way to a new one.
-func TestDisplace(t *testing.T) {
+// TestEvict checks which connection is evicted for a new one.
+func TestEvict(t *testing.T) {
 	now := time.Now()
 	before := func(d time.Duration) time.Time { return now.Add(-d) }
 	tests := []struct {
 		name  string
 		conns []*conn
-		want  int // index of the one that gives way; -1 for none
+		want  int // index of the one that is evicted; -1 for none
 	}{
 		{name: "the oldest without a request", conns: []*conn{
 			{since: before(time.Second)}, {since: before(2 * time.Second)}, {since: before(9 * time.Second), answered: true}}, want: 1},
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -120,7 +120,7 @@
 }
 
 // ReadBody reads the body of a caller's request, which has limit bytes at most and is to be
-// complete at the time by. Its errors are those of intake.Table.ReadBody.
-func (d *Daemon) ReadBody(r *http.Request, limit int, by time.Time) ([]byte, error) {
-	return d.callers.conns.ReadBody(r, limit, by)
+// complete by the deadline. Its errors are those of intake.Table.ReadBody.
+func (d *Daemon) ReadBody(r *http.Request, limit int, deadline time.Time) ([]byte, error) {
+	return d.callers.conns.ReadBody(r, limit, deadline)
 }
