daemon: the own interface bounds its callers' connections, too

Cause: its server bounds one head, one body and their times, but not how many there are, and own daemons knew of no limit on memory. Why it works: the listener has a table of connections, as serve has, each counted with the most that its request takes; above their number the one is evicted on which nothing is being served. The setting memory (MB) has all of the VM's as its default, which also is the collector's limit.

--- a/cmd/bronzedoor/daemon.go
+++ b/cmd/bronzedoor/daemon.go
@@ -13,6 +13,7 @@
 	"bronzedoor.dev/bronzedoor/internal/admin"
 	"bronzedoor.dev/bronzedoor/internal/daemon"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/setup"
 )
 
@@ -30,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	intake.LimitHeap(s.MemoryLimit())
 	l := logger(s.Log)
 	d := daemon.New(s, daemon.SystemNet(), event.New(l))
 	if err := d.Start(context.WithoutCancel(ctx)); err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"bronzedoor.dev/bronzedoor/internal/entry"
 	"bronzedoor.dev/bronzedoor/internal/event"
 	"bronzedoor.dev/bronzedoor/internal/fault"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
 	"bronzedoor.dev/bronzedoor/internal/once"
 	"bronzedoor.dev/bronzedoor/internal/owner"
@@ -246,6 +247,15 @@
 	d.blockManager.Init()
 }
 
+// callerMemory is the memory in bytes that a caller's connection takes at most: a head of short
+// lines, a body of query.MaxBody, stacks and buffers.
+const callerMemory = 352 << 10
+
+// noteRefused logs that a caller's connection was ended to make room.
+func (d *Daemon) noteRefused(r intake.Refusal, peer net.Addr) {
+	d.Log.Emit(event.CallerRefused, event.Fields{Step: "read", Peer: peer.String(), Detail: r.Reason})
+}
+
 func (d *Daemon) buildServers(storeClient *store.Client) error {
 	peers, err := d.Net.Listen(d.Settings.Peer)
 	if err != nil {
@@ -256,10 +266,18 @@
 		_ = peers.Close()
 		return fault.Wrap(err, "listen", d.Settings.Address)
 	}
+	conns := &intake.Table{ConnMemory: callerMemory, Refused: d.noteRefused}
+	conns.SetLimits(d.Settings.MemoryLimit(), intake.MaxFiles())
+	callers, err = conns.Listener(callers)
+	if err != nil {
+		// Served all the same: the kernel's usual buffers only take more memory.
+		d.Log.Emit(event.SettingNotInForce, event.Fields{Step: "listen", Peer: d.Settings.Address, Class: "receive buffer", Err: err})
+	}
 	d.server = &peerServer{daemon: d, listener: peers}
 	d.entry = &entry.Entry{
 		Self:        d.identity,
 		Listener:    callers,
+		Conns:       conns,
 		Config:      &d.config,
 		Versions:    &plan.Versions{},
 		Balancer:    &d.balancer,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"bronzedoor.dev/bronzedoor/internal/conf"
 	"bronzedoor.dev/bronzedoor/internal/event"
+	"bronzedoor.dev/bronzedoor/internal/intake"
 	"bronzedoor.dev/bronzedoor/internal/kernel"
 	"bronzedoor.dev/bronzedoor/internal/limit"
 	"bronzedoor.dev/bronzedoor/internal/object"
@@ -57,7 +58,8 @@
 type Entry struct {
 	Self        string // identity of this daemon
 	Listener    net.Listener
-	TLS         *tls.Config // nil for plain HTTP
+	Conns       *intake.Table // of Listener's connections; nil for no limit on them
+	TLS         *tls.Config   // nil for plain HTTP
 	Config      *conf.Config
 	Versions    *plan.Versions
 	Balancer    *plan.Balancer
@@ -102,6 +104,9 @@
 		TLSConfig:         e.TLS,
 		ErrorLog:          discardLog,
 	}
+	if e.Conns != nil {
+		e.Conns.Attach(&e.server)
+	}
 	go e.run()
 	go e.loop(ctx)
 	return nil
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -56,6 +56,9 @@
 		return n, err
 	}
 	inHead := c.beginHeader()
+	if c.table.Limits == nil {
+		return n, err
+	}
 	c.head.add(b, n, inHead)
 	if !inHead {
 		return n, err
--- a/internal/intake/evict_test.go
+++ b/internal/intake/evict_test.go
@@ -78,6 +78,10 @@
 			table.SetLimits(tt.memory, tt.files)
 			is.Equal(table.maxConns, tt.want)
 			is.Equal(table.memory != nil, tt.memory > 0)
+			whole := Table{ConnMemory: 4 * (connMemory + shortRequest)}
+			whole.SetLimits(tt.memory, 0)
+			is.Equal(whole.maxConns, max(int(tt.memory>>20)*16/3/4, min(int(tt.memory), 1)))
+			is.Equal(whole.memory, nil)
 		})
 	}
 }
--- a/internal/server/settings_test.go
+++ b/internal/intake/files_test.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import (
 	"syscall"
@@ -17,6 +17,5 @@
 	low.Cur = min(limit.Cur, 700)
 	is.NoErr(syscall.Setrlimit(syscall.RLIMIT_NOFILE, &low))
 	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
-	is.Equal((&Settings{}).maxFiles(), int(low.Cur))
-	is.Equal((&Settings{MaxFiles: 4100}).maxFiles(), 4100)
+	is.Equal(MaxFiles(), int(low.Cur))
 }
--- a/internal/server/heap.go
+++ b/internal/intake/heap.go
@@ -1,4 +1,4 @@
-package server
+package intake
 
 import "runtime/debug"
 
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -1,6 +1,11 @@
 package intake
 
-import "bronzedoor.dev/bronzedoor/internal/quota"
+import (
+	"math"
+	"syscall"
+
+	"bronzedoor.dev/bronzedoor/internal/quota"
+)
 
 // Inverse of the shares of a process's limits that callers may take.
 const (
@@ -21,9 +26,22 @@
 	if memory <= 0 {
 		return
 	}
-	t.memory = &quota.Quota{Max: memory / requestShareOfMemory}
-	byMemory := int(memory / callerShareOfMemory / (connMemory + shortRequest))
+	each := t.ConnMemory
+	if each == 0 {
+		each = connMemory + shortRequest
+		t.memory = &quota.Quota{Max: memory / requestShareOfMemory}
+	}
+	byMemory := int(memory / callerShareOfMemory / each)
 	if t.maxConns == 0 || byMemory < t.maxConns {
 		t.maxConns = max(byMemory, 1)
 	}
 }
+
+// MaxFiles returns how many descriptors the kernel lets this process open; 0 for no limit.
+func MaxFiles() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// Attach makes a server report the states of its connections, for a server that doesn't read
+// requests through the table: it bounds the number of its connections only. Limits must be nil.
+// It is to be called before the server serves a listener of the table.
+func (t *Table) Attach(s *http.Server) {
+	s.ConnState = t.track
+}
+
 // connKey is the key of a request's *conn in its context.
 type connKey struct{}
 
--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -21,9 +22,12 @@
 // server runs. Nor can Shutdown end idle connections: it may close one whose request has
 // just been read.
 type Table struct {
-	Limits  func() route.Limits            // returns the limits in force
+	Limits  func() route.Limits            // returns the limits in force; nil if heads are not counted
 	Refused func(r Refusal, peer net.Addr) // is told of each refusal; may be nil
 	Linger  time.Duration                  // for which a request that was served may be held after its answer
+	// ConnMemory is the memory in bytes that a connection takes at most, with its request; 0 if
+	// requests reserve theirs.
+	ConnMemory int64
 
 	memory *quota.Quota // bytes of callers' requests; nil for no limit
 	// maxConns is the number of connections above which a new one takes the place of one on
@@ -87,7 +91,7 @@
 
 // track records a connection's new state. It is an http.Server's ConnState hook.
 func (t *Table) track(nc net.Conn, state http.ConnState) {
-	c := nc.(*conn)
+	c := connIn(nc)
 	switch state {
 	case http.StateActive:
 		c.setState(connBusy)
@@ -105,6 +109,14 @@
 	}
 }
 
+// connIn returns the connection of a table that an http.Server serves, itself or under TLS.
+func connIn(nc net.Conn) *conn {
+	if tc, ok := nc.(*tls.Conn); ok {
+		nc = tc.NetConn()
+	}
+	return nc.(*conn)
+}
+
 // Listener returns a listener whose connections are in the table. It limits what the kernel
 // holds of them, as far as it can: the error is not nil if it can't.
 func (t *Table) Listener(l net.Listener) (net.Listener, error) {
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -1,9 +1,7 @@
 package server
 
 import (
-	"math"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -71,11 +69,7 @@
 	if s.MaxFiles > 0 {
 		return s.MaxFiles
 	}
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
-		return 0
-	}
-	return int(limit.Cur)
+	return intake.MaxFiles()
 }
 
 // registerCallerMetrics creates the metrics of callers' connections.
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -26,12 +27,25 @@
 	Objects string   `toml:"objects" reload:"restart"` // object API: IP number and port
 	Machine string   `toml:"machine" reload:"restart"` // VM list: IP number and port
 	Peers   []string `toml:"peers" reload:"restart"`   // peer addresses of some other daemons, to join through while the VM list is down
+	Memory  int64    `toml:"memory" reload:"restart"`  // MB that the process may use; 0 for all that the VM has
 	Log     string   `toml:"log" reload:"live"`        // lowest level logged: debug, info, warning or error
 	Linger  Duration `toml:"linger" reload:"live"`     // how long a leaving daemon still accepts new requests
 	Drain   Duration `toml:"drain" reload:"live"`      // timeout of a leave; must be above Linger
 	TLS     TLS      `toml:"tls" reload:"restart"`     // the files' contents are read again when they change
 }
 
+// MemoryLimit returns the memory in bytes that the process may use; 0 if that is not known.
+func (s *Settings) MemoryLimit() int64 {
+	if s.Memory > 0 {
+		return s.Memory << 20
+	}
+	var info syscall.Sysinfo_t
+	if syscall.Sysinfo(&info) != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
 // TLS names the certificate files. Either all are set or none, which means plain
 // text.
 type TLS struct {
@@ -150,6 +164,9 @@
 	if _, err := logrus.ParseLevel(s.Log); err != nil {
 		c.add("log", "%q is not debug, info, warning or error", s.Log)
 	}
+	if s.Memory < 0 {
+		c.add("memory", "%d is below zero", s.Memory)
+	}
 	if s.Drain <= s.Linger {
 		c.add("drain", "%v is not above linger, %v", time.Duration(s.Drain), time.Duration(s.Linger))
 	}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -28,6 +28,7 @@
 		{name: "host name", text: valid + `peers = ["store.example:1"]`, want: []string{`f:7: peers: "store.example:1" is not an IP number and a port, like 127.0.0.1:7101`}},
 		{name: "wrong unit", text: valid + `drain = "7 ells"`, want: []string{`f:7: drain: "7 ells" is not a time with its unit, like 5s or 300ms`}},
 		{name: "negative duration", text: valid + `drain = "-7s"`, want: []string{`f:7: drain: "-7s" is below zero`}},
+		{name: "negative memory", text: valid + "memory = -1\n", want: []string{"f:7: memory: -1 is below zero"}},
 		{name: "incomplete tls", text: valid + "[tls]\ncert = \"c\"\n", want: []string{"f:7: tls: cert, key and root must be set together"}},
 		{name: "several problems", text: valid + "log = \"loud\"\ndrain = \"1s\"\n", want: []string{
 			`f:7: log: "loud" is not debug, info, warning or error`, "f:8: drain: 1s is not above linger, 5s",
@@ -68,3 +69,9 @@
 	is := is.New(t)
 	is.Equal(change.Unruled(Settings{}), nil)
 }
+
+func TestMemoryLimit(t *testing.T) {
+	is := is.New(t)
+	is.Equal((&Settings{Memory: 64}).MemoryLimit(), int64(64<<20))
+	is.True((&Settings{}).MemoryLimit() > 64<<20) // that of the VM
+}
