intake: tests that waited for a time don't depend on it

Read after TestLimitHeap: TestMakeRoom needed two calls within 50 ms, TestHeadAdmission that a timer of 10 ms had fired after 20. Neither has failed. The first runs on the paused clock now, the second waits until what it asks for is there, as TestAttach does for longer than before. What is asked for is the same.

--- a/internal/intake/attach_test.go
+++ b/internal/intake/attach_test.go
@@ -57,7 +57,7 @@
 			is.NoErr(err)
 			is.Equal(string(b), "done")
 			is.NoErr(resp.Body.Close())
-			for range 100 {
+			for range 1000 {
 				if table.Size() <= maxConns {
 					break
 				}
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -74,7 +75,12 @@
 			for table.Size() > 0 {
 				time.Sleep(time.Millisecond)
 			}
-			time.Sleep(2 * table.Linger)
+			for range 1000 {
+				if table.memory.Used() == tt.used {
+					break
+				}
+				time.Sleep(table.Linger)
+			}
 			is.Equal(table.memory.Used(), tt.used)
 		})
 	}
@@ -173,29 +179,30 @@
 		{name: "complete", state: connBusy, age: time.Minute, taken: 60},
 		{name: "idle", state: connIdle, age: time.Minute},
 	}
-	is := is.New(t)
-	table := newIntakeTable(300)
-	is.True(table.memory.Take(300))
-	table.conns = make(map[*conn]struct{})
-	var conns []*conn
-	for _, tt := range tests {
-		c := &conn{table: table, state: tt.state, since: time.Now().Add(-tt.age)}
-		c.Conn, _ = net.Pipe()
-		c.taken.Store(tt.taken)
-		table.conns[c] = struct{}{}
-		conns = append(conns, c)
-	}
-	needy := &conn{table: table}
-	is.True(!needy.reserve(shortRequest + 150))
-	for i, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			is.Equal(conns[i].expired, tt.want)
-		})
-	}
-	is.True(!needy.reserve(shortRequest + 300)) // too soon to look again
-	is.True(!conns[3].expired)
-	time.Sleep(2 * makeRoomInterval)
-	is.True(!needy.reserve(shortRequest + 300))
-	is.True(conns[3].expired)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := newIntakeTable(300)
+		is.True(table.memory.Take(300))
+		table.conns = make(map[*conn]struct{})
+		var conns []*conn
+		for _, tt := range tests {
+			c := &conn{table: table, state: tt.state, since: time.Now().Add(-tt.age)}
+			c.Conn, _ = net.Pipe()
+			c.taken.Store(tt.taken)
+			table.conns[c] = struct{}{}
+			conns = append(conns, c)
+		}
+		needy := &conn{table: table}
+		is.True(!needy.reserve(shortRequest + 150))
+		for i, tt := range tests {
+			if conns[i].expired != tt.want {
+				t.Errorf("%s: ended is %t", tt.name, conns[i].expired)
+			}
+		}
+		is.True(!needy.reserve(shortRequest + 300)) // too soon to look again
+		is.True(!conns[3].expired)
+		time.Sleep(2 * makeRoomInterval)
+		is.True(!needy.reserve(shortRequest + 300))
+		is.True(conns[3].expired)
+	})
 }
